--- /dev/null
+++ b/base/base_test.cpp
@@ -0,0 +1,75 @@
+#include "base/ids.h"
+#include "base/json_fields.h"
+#include "base/random.h"
+#include "base/rendezvous.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace mimosa {
+namespace {
+
+// Guards against a crash or an exception on input that is not JSON.
+RC_GTEST_PROP(Json, AnyBytesGiveAValueOrAnError, (const std::string &Bytes)) {
+  Result<Json> Parsed = parseJson(Bytes);
+  if (!ok(Parsed))
+    RC_ASSERT(errorOf(Parsed).Code == ResultCode::BadJson);
+}
+
+struct NumberCase {
+  const char *Text;
+  bool Fails;
+};
+
+// Guards against numbers that wrap, are rounded or are silently accepted.
+TEST(JsonFields, NumberIsCheckedAgainstItsRange) {
+  const NumberCase Cases[] = {
+      {R"({"n":1})", false},
+      {R"({"n":10})", false},
+      {R"({"n":0})", true},
+      {R"({"n":11})", true},
+      {R"({"n":1.5})", true},
+      {R"({"n":"1"})", true},
+      {R"({"n":18446744073709551615})", true},
+      {R"({})", true},
+      {R"([])", true},
+  };
+  for (const NumberCase &Case : Cases) {
+    Json Object = Json::parse(Case.Text);
+    JsonFields Fields(Object, "case");
+    Fields.number("n", 1, 10);
+    EXPECT_EQ(Fields.failed(), Case.Fails) << Case.Text;
+  }
+}
+
+// Guards against a loss of a node that moves keys of other nodes.
+TEST(Rendezvous, LosingANodeMovesOnlyItsKeys) {
+  const char *Nodes[] = {"a", "b", "c", "d"};
+  auto First = [&](const std::string &Key, size_t Count) {
+    size_t Best = 0;
+    for (size_t I = 1; I < Count; ++I)
+      if (rendezvousWeight(Key, Nodes[I]) > rendezvousWeight(Key, Nodes[Best]))
+        Best = I;
+    return Best;
+  };
+  for (int Key = 0; Key < 1000; ++Key) {
+    size_t Before = First(std::to_string(Key), 4);
+    if (Before == 3)
+      continue;
+    EXPECT_EQ(First(std::to_string(Key), 3), Before);
+  }
+}
+
+// Guards against a biased or unrepeatable random stream.
+TEST(Random, RepeatsBySeedAndStaysInRange) {
+  SeededRandom A(7);
+  SeededRandom B(7);
+  for (int I = 0; I < 1000; ++I) {
+    uint64_t Value = A.below(10);
+    EXPECT_LT(Value, 10u);
+    EXPECT_EQ(Value, B.below(10));
+  }
+}
+
+} // namespace
+} // namespace mimosa
