--- /dev/null
+++ b/backend/module.cmake
@@ -0,0 +1,1 @@
+mimosa_module(backend mimosa_base)
