Add the MessagePack codec for peer messages

Cause: every control message needs the same coding with bounded decoding. Change: base/message_codec.h with adaptors for ids and durations. Figures: a property test decodes arbitrary bytes without a crash. Conclusion: messages are aggregates with MSGPACK_DEFINE_MAP.

--- a/base/base_test.cpp
+++ b/base/base_test.cpp
@@ -1,5 +1,6 @@
 #include "base/ids.h"
 #include "base/json_fields.h"
+#include "base/message_codec.h"
 #include "base/random.h"
 #include "base/rendezvous.h"
 
@@ -42,6 +43,40 @@
   }
 }
 
+struct OldMessage {
+  HostId Sender;
+  Duration Wait{};
+  MSGPACK_DEFINE_MAP(Sender, Wait);
+};
+
+struct NewMessage {
+  HostId Sender;
+  Duration Wait{};
+  ShardId Shard{9};
+  MSGPACK_DEFINE_MAP(Sender, Wait, Shard);
+};
+
+// Guards against a rolling upgrade in which either side rejects the other.
+TEST(MessageCodec, MissingAndUnknownFieldsAreAccepted) {
+  auto Newer =
+      unpackBody<NewMessage>(packBody(OldMessage{HostId("a"), Duration(5)}));
+  ASSERT_TRUE(ok(Newer));
+  EXPECT_EQ(valueOf(Newer).Sender, HostId("a"));
+  EXPECT_EQ(valueOf(Newer).Shard, ShardId(9));
+  auto Older = unpackBody<OldMessage>(
+      packBody(NewMessage{HostId("b"), Duration(6), ShardId(1)}));
+  ASSERT_TRUE(ok(Older));
+  EXPECT_EQ(valueOf(Older).Wait, Duration(6));
+}
+
+// Guards against a crash or an exception on a hostile frame.
+RC_GTEST_PROP(MessageCodec, AnyBytesGiveAValueOrAnError,
+              (const std::string &Bytes)) {
+  auto Read = unpackBody<NewMessage>(Bytes);
+  if (!ok(Read))
+    RC_ASSERT(errorOf(Read).Code == ResultCode::BadFrame);
+}
+
 // Guards against a loss of a node that moves keys of other nodes.
 TEST(Rendezvous, LosingANodeMovesOnlyItsKeys) {
   const char *Nodes[] = {"a", "b", "c", "d"};
--- /dev/null
+++ b/base/message_codec.h
@@ -0,0 +1,111 @@
+// MessagePack coding of the messages between daemons. A message is an aggregate
+// that names its fields; it is sent as a map, so that a peer of another version
+// can skip fields that it does not know and default those that are missing:
+//
+//   struct Probe {
+//     HostId Sender;
+//     Revision ConfigRevision;
+//     MSGPACK_DEFINE_MAP(Sender, ConfigRevision);
+//   };
+//   std::string Body = packBody(Probe{...});
+//   Result<Probe> Read = unpackBody<Probe>(Body);
+//
+// Ids and durations (in microseconds) are packed as their text or number.
+
+#ifndef MIMOSA_BASE_MESSAGE_CODEC_H
+#define MIMOSA_BASE_MESSAGE_CODEC_H
+
+#include "base/ids.h"
+#include "base/result.h"
+#include "base/time.h"
+
+#include <msgpack.hpp>
+#include <string>
+#include <string_view>
+
+namespace msgpack {
+MSGPACK_API_VERSION_NAMESPACE(MSGPACK_DEFAULT_API_NS) {
+  namespace adaptor {
+
+  template <typename Tag> struct pack<mimosa::TextId<Tag>> {
+    template <typename Stream>
+    packer<Stream> &operator()(packer<Stream> &Out,
+                               const mimosa::TextId<Tag> &Id) const {
+      return Out.pack(Id.text());
+    }
+  };
+  template <typename Tag> struct convert<mimosa::TextId<Tag>> {
+    const msgpack::object &operator()(const msgpack::object &In,
+                                      mimosa::TextId<Tag> &Id) const {
+      Id = mimosa::TextId<Tag>(In.as<std::string>());
+      return In;
+    }
+  };
+
+  template <typename Tag, typename Number>
+  struct pack<mimosa::NumberId<Tag, Number>> {
+    template <typename Stream>
+    packer<Stream> &operator()(packer<Stream> &Out,
+                               mimosa::NumberId<Tag, Number> Id) const {
+      return Out.pack(Id.number());
+    }
+  };
+  template <typename Tag, typename Number>
+  struct convert<mimosa::NumberId<Tag, Number>> {
+    const msgpack::object &operator()(const msgpack::object &In,
+                                      mimosa::NumberId<Tag, Number> &Id) const {
+      Id = mimosa::NumberId<Tag, Number>(In.as<Number>());
+      return In;
+    }
+  };
+
+  template <> struct pack<mimosa::Duration> {
+    template <typename Stream>
+    packer<Stream> &operator()(packer<Stream> &Out,
+                               mimosa::Duration Time) const {
+      return Out.pack(static_cast<int64_t>(Time.count()));
+    }
+  };
+  template <> struct convert<mimosa::Duration> {
+    const msgpack::object &operator()(const msgpack::object &In,
+                                      mimosa::Duration &Time) const {
+      Time = mimosa::Duration(In.as<int64_t>());
+      return In;
+    }
+  };
+
+  } // namespace adaptor
+} // MSGPACK_API_VERSION_NAMESPACE
+} // namespace msgpack
+
+namespace mimosa {
+
+/// \p Message as the body of a frame.
+template <typename T> std::string packBody(const T &Message) {
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Message);
+  return std::string(Buffer.data(), Buffer.size());
+}
+
+/// The message in \p Body; fails with BadFrame if it cannot be decoded.
+template <typename T> Result<T> unpackBody(std::string_view Body) {
+  // Depth and element counts are bounded so that a small hostile frame cannot
+  // make the decoder allocate much more than its own size.
+  const msgpack::unpack_limit Limit(1 << 20, 1 << 20, 1 << 22, 1 << 22, 1 << 22,
+                                    16);
+  try {
+    msgpack::object_handle Handle =
+        msgpack::unpack(Body.data(), Body.size(), nullptr, nullptr, Limit);
+    T Message;
+    Handle.get().convert(Message);
+    return Message;
+  } catch (const std::exception &E) {
+    return Error{ResultCode::BadFrame,
+                 std::string("the frame's body cannot be decoded: ") +
+                     E.what()};
+  }
+}
+
+} // namespace mimosa
+
+#endif // MIMOSA_BASE_MESSAGE_CODEC_H
