--- /dev/null
+++ b/config/config_parser.cpp
@@ -0,0 +1,281 @@
+#include "config/config.h"
+
+#include <arpa/inet.h>
+#include <charconv>
+#include <initializer_list>
+#include <optional>
+#include <unordered_set>
+
+namespace mimosa {
+
+namespace {
+
+// Bounds of the fields, as in docs/design.md, 5.6. The page gives none for
+// slots and connections; theirs only reject values that cannot be meant.
+constexpr int64_t MaxDeadlineMs = 10000;
+constexpr int64_t MinSubRequestLimitMs = 10;
+constexpr int64_t MaxSubRequestLimitMs = 10000;
+constexpr int64_t MaxQueueLimit = 100000;
+constexpr int64_t MaxWeight = 100;
+constexpr int64_t MaxSlots = 10000;
+constexpr int64_t MaxConnections = 100000;
+constexpr size_t MaxNameBytes = 64;
+
+bool isName(std::string_view Text) {
+  if (Text.empty() || Text.size() > MaxNameBytes)
+    return false;
+  return Text.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-_.") ==
+         std::string_view::npos;
+}
+
+bool isPort(std::string_view Text) {
+  uint32_t Port = 0;
+  auto [End, Failure] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Port);
+  bool Whole = Failure == std::errc() && End == Text.data() + Text.size();
+  return Whole && Port >= 1 && Port <= 65535 && Text.front() != '0';
+}
+
+/// \p Address in the one form in which equal addresses are equal texts;
+/// nothing if it is not an IP number and a port.
+std::optional<std::string> normalAddress(const std::string &Address) {
+  size_t Colon = Address.rfind(':');
+  if (Colon == std::string::npos || Colon + 1 == Address.size())
+    return std::nullopt;
+  if (!isPort(std::string_view(Address).substr(Colon + 1)))
+    return std::nullopt;
+  std::string Host = Address.substr(0, Colon);
+  int Family = AF_INET;
+  if (Host.size() > 2 && Host.front() == '[' && Host.back() == ']') {
+    Host = Host.substr(1, Host.size() - 2);
+    Family = AF_INET6;
+  }
+  in6_addr Number{};
+  char Text[INET6_ADDRSTRLEN];
+  if (inet_pton(Family, Host.c_str(), &Number) != 1 ||
+      !inet_ntop(Family, &Number, Text, sizeof(Text)))
+    return std::nullopt;
+  return std::string(Text) + Address.substr(Colon);
+}
+
+/// Reads one document; the first error ends the reading.
+class Parser {
+public:
+  Result<Config> parse(const Json &Document, const std::string &Where);
+
+private:
+  using Names = std::unordered_set<std::string>;
+
+  std::vector<Region> parseRegions(const Json &List, const std::string &Where);
+  AvailabilityZone parseZone(const Json &Object, const std::string &Where);
+  Service parseService(const Json &Object, const std::string &Where);
+  BackendServer parseBackendServer(const Json &Object,
+                                   const std::string &Where);
+
+  void checkFields(JsonFields &Fields, const Json &Object,
+                   std::initializer_list<std::string_view> Known);
+  std::string uniqueName(JsonFields &Fields, Names &Used, const char *Kind);
+  std::string address(JsonFields &Fields);
+  bool choice(JsonFields &Fields, const char *Default, const char *Other);
+
+  /// Keeps the first error of \p Fields.
+  void keep(const JsonFields &Fields) {
+    if (Fields.failed() && !Failure)
+      Failure = Error{ResultCode::InvalidConfig, Fields.error().Message};
+  }
+
+  std::optional<Error> Failure;
+  Names Regions, Zones, Services, BackendServers, Addresses;
+};
+
+std::string place(const std::string &Where, const char *Field, size_t Index) {
+  std::string Prefix = Where.empty() ? "" : Where + ".";
+  return Prefix + Field + "[" + std::to_string(Index) + "]";
+}
+
+void Parser::checkFields(JsonFields &Fields, const Json &Object,
+                         std::initializer_list<std::string_view> Known) {
+  if (!Object.is_object())
+    return;
+  for (const auto &Item : Object.items()) {
+    bool Found = false;
+    for (std::string_view Name : Known)
+      Found = Found || Name == Item.key();
+    if (!Found)
+      Fields.fail(ResultCode::InvalidConfig,
+                  Fields.where() + "." + Item.key() + " is not a known field");
+  }
+}
+
+std::string Parser::uniqueName(JsonFields &Fields, Names &Used,
+                               const char *Kind) {
+  std::string Name = Fields.text("name");
+  if (Fields.failed())
+    return Name;
+  if (!isName(Name))
+    Fields.fail(ResultCode::InvalidConfig,
+                Fields.where() +
+                    ".name must be 1 to 64 characters of a-z 0-9 - _ ., not " +
+                    Json(Name).dump());
+  else if (!Used.insert(Name).second)
+    Fields.fail(ResultCode::InvalidConfig,
+                Fields.where() + ".name \"" + Name +
+                    "\" is already the name of another " + Kind);
+  return Name;
+}
+
+std::string Parser::address(JsonFields &Fields) {
+  std::string Address = Fields.text("address");
+  if (Fields.failed())
+    return Address;
+  std::optional<std::string> Normal = normalAddress(Address);
+  if (!Normal)
+    Fields.fail(ResultCode::InvalidConfig,
+                Fields.where() +
+                    ".address must be an IP number and a port, not " +
+                    Json(Address).dump());
+  else if (!Addresses.insert(*Normal).second)
+    Fields.fail(ResultCode::InvalidConfig,
+                Fields.where() + ".address \"" + Address +
+                    "\" is already the address of another backend server");
+  return Address;
+}
+
+/// Reads the field "state"; true if it is \p Other.
+bool Parser::choice(JsonFields &Fields, const char *Default,
+                    const char *Other) {
+  std::string State = Fields.textOr("state", Default);
+  if (State != Default && State != Other)
+    Fields.fail(ResultCode::InvalidConfig,
+                Fields.where() + ".state must be \"" + Default + "\" or \"" +
+                    Other + "\", not " + Json(State).dump());
+  return State == Other;
+}
+
+AvailabilityZone Parser::parseZone(const Json &Object,
+                                   const std::string &Where) {
+  JsonFields Fields(Object, Where);
+  checkFields(Fields, Object, {"name", "state"});
+  AvailabilityZone Zone;
+  Zone.Name =
+      AvailabilityZoneId(uniqueName(Fields, Zones, "availability zone"));
+  Zone.State = choice(Fields, "in", "out") ? ZoneState::Out : ZoneState::In;
+  keep(Fields);
+  return Zone;
+}
+
+std::vector<Region> Parser::parseRegions(const Json &List,
+                                         const std::string &Where) {
+  std::vector<Region> Parsed;
+  for (size_t I = 0; I < List.size() && !Failure; ++I) {
+    JsonFields Fields(List[I], place(Where, "regions", I));
+    checkFields(Fields, List[I], {"name", "zones"});
+    Region Next;
+    Next.Name = RegionId(uniqueName(Fields, Regions, "region"));
+    const Json &ZoneList = Fields.array("zones");
+    keep(Fields);
+    for (size_t J = 0; J < ZoneList.size() && !Failure; ++J)
+      Next.Zones.push_back(
+          parseZone(ZoneList[J], place(Fields.where(), "zones", J)));
+    Parsed.push_back(std::move(Next));
+  }
+  return Parsed;
+}
+
+BackendServer Parser::parseBackendServer(const Json &Object,
+                                         const std::string &Where) {
+  JsonFields Fields(Object, Where);
+  checkFields(Fields, Object,
+              {"name", "address", "zone", "slots", "connections", "cold_limit",
+               "state"});
+  BackendServer Server;
+  Server.Name =
+      BackendServerId(uniqueName(Fields, BackendServers, "backend server"));
+  Server.Address = address(Fields);
+  Server.Zone = AvailabilityZoneId(Fields.text("zone"));
+  if (!Fields.failed() && Zones.count(Server.Zone.text()) == 0)
+    Fields.fail(ResultCode::InvalidConfig,
+                Where + ".zone " + Json(Server.Zone.text()).dump() +
+                    " is not an availability zone of any region");
+  int64_t Slots = Fields.number("slots", 1, MaxSlots);
+  Server.Slots = static_cast<uint32_t>(Slots);
+  Server.Connections =
+      static_cast<uint32_t>(Fields.number("connections", 1, MaxConnections));
+  Server.ColdLimit =
+      static_cast<uint32_t>(Fields.numberOr("cold_limit", 1, Slots, 1));
+  Server.State = choice(Fields, "in", "draining") ? BackendState::Draining
+                                                  : BackendState::In;
+  keep(Fields);
+  return Server;
+}
+
+Service Parser::parseService(const Json &Object, const std::string &Where) {
+  JsonFields Fields(Object, Where);
+  checkFields(Fields, Object,
+              {"name", "default_deadline_ms", "sub_request_limit_ms",
+               "queue_limit", "weight", "backend_servers"});
+  Service Next;
+  Next.Name = ServiceId(uniqueName(Fields, Services, "service"));
+  Next.DefaultDeadline =
+      Milliseconds(Fields.numberOr("default_deadline_ms", 1, MaxDeadlineMs,
+                                   inMilliseconds(Next.DefaultDeadline)));
+  Next.SubRequestLimit = Milliseconds(Fields.numberOr(
+      "sub_request_limit_ms", MinSubRequestLimitMs, MaxSubRequestLimitMs,
+      inMilliseconds(Next.SubRequestLimit)));
+  Next.QueueLimit = static_cast<uint32_t>(
+      Fields.numberOr("queue_limit", 1, MaxQueueLimit, Next.QueueLimit));
+  Next.Weight = static_cast<uint32_t>(
+      Fields.numberOr("weight", 1, MaxWeight, Next.Weight));
+  const Json &Servers = Fields.array("backend_servers");
+  keep(Fields);
+  for (size_t I = 0; I < Servers.size() && !Failure; ++I)
+    Next.BackendServers.push_back(
+        parseBackendServer(Servers[I], place(Where, "backend_servers", I)));
+  return Next;
+}
+
+Result<Config> Parser::parse(const Json &Document, const std::string &Where) {
+  JsonFields Fields(Document, Where.empty() ? "document" : Where);
+  checkFields(Fields, Document,
+              {"revision", "change_id", "regions", "services"});
+  Config Parsed;
+  Parsed.ConfigRevision =
+      Revision(static_cast<uint64_t>(Fields.number("revision", 0, INT64_MAX)));
+  Parsed.ChangeId = Fields.text("change_id");
+  if (Parsed.ChangeId.size() > MaxChangeIdBytes)
+    Fields.fail(ResultCode::InvalidConfig,
+                Fields.where() + ".change_id must have at most " +
+                    std::to_string(MaxChangeIdBytes) + " bytes, not " +
+                    std::to_string(Parsed.ChangeId.size()));
+  const Json &RegionList = Fields.array("regions");
+  const Json &ServiceList = Fields.array("services");
+  keep(Fields);
+  if (!Failure)
+    Parsed.Regions = parseRegions(RegionList, Where);
+  for (size_t I = 0; I < ServiceList.size() && !Failure; ++I)
+    Parsed.Services.push_back(
+        parseService(ServiceList[I], place(Where, "services", I)));
+  if (Failure)
+    return *Failure;
+  return Parsed;
+}
+
+} // namespace
+
+Result<Config> parseConfigJson(const Json &Document, const std::string &Where) {
+  return Parser().parse(Document, Where);
+}
+
+Result<Config> parseConfig(std::string_view Text) {
+  if (Text.size() > MaxConfigBytes)
+    return Error{ResultCode::BodyTooLarge, "the document must have at most " +
+                                               std::to_string(MaxConfigBytes) +
+                                               " bytes, not " +
+                                               std::to_string(Text.size())};
+  Result<Json> Document = parseJson(Text);
+  if (!ok(Document))
+    return errorOf(Document);
+  return parseConfigJson(valueOf(Document));
+}
+
+} // namespace mimosa
--- /dev/null
+++ b/config/module.cmake
@@ -0,0 +1,1 @@
+mimosa_module(config mimosa_base)
