--- /dev/null
+++ b/query/module.cmake
@@ -0,0 +1,1 @@
+mimosa_module(query mimosa_backend)
--- /dev/null
+++ b/query/request.cpp
@@ -0,0 +1,226 @@
+#include "query/request.h"
+
+#include "base/json_fields.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <cstring>
+
+namespace mimosa {
+
+namespace {
+
+const char *const KnownFields[] = {"service",     "caller",     "class",
+                                   "deadline_ms", "idempotent", "request_key",
+                                   "query",       "limit"};
+
+/// Bytes of an answer without its hits, and of one hit besides its id.
+constexpr size_t AnswerReserve = 320;
+constexpr size_t HitReserve = 64;
+
+/// Deepest nesting of the arrays and objects in \p Text. Text that is not JSON
+/// gives a number that does not matter.
+uint32_t nestingOf(std::string_view Text) {
+  uint32_t Depth = 0;
+  uint32_t Deepest = 0;
+  bool InString = false;
+  for (size_t I = 0; I < Text.size(); ++I) {
+    char C = Text[I];
+    if (InString) {
+      if (C == '\\')
+        ++I;
+      else if (C == '"')
+        InString = false;
+    } else if (C == '"') {
+      InString = true;
+    } else if (C == '{' || C == '[') {
+      Deepest = std::max(Deepest, ++Depth);
+    } else if ((C == '}' || C == ']') && Depth > 0) {
+      --Depth;
+    }
+  }
+  return Deepest;
+}
+
+void refuseUnknownFields(const Json &Object, JsonFields &Fields) {
+  for (const auto &Item : Object.items()) {
+    bool Known =
+        std::any_of(std::begin(KnownFields), std::end(KnownFields),
+                    [&](const char *Name) { return Item.key() == Name; });
+    if (!Known)
+      Fields.fail(ResultCode::BadField, Fields.where() + "." + Item.key() +
+                                            " is not a field of a query");
+  }
+}
+
+void checkLength(const std::string &Text, const char *Name,
+                 JsonFields &Fields) {
+  if (Text.size() > MaxQueryNameLength)
+    Fields.fail(ResultCode::BadField,
+                Fields.where() + "." + Name + " has " +
+                    std::to_string(Text.size()) + " bytes; at most " +
+                    std::to_string(MaxQueryNameLength) + " are allowed");
+}
+
+QueryClass readClass(JsonFields &Fields) {
+  std::string Name = Fields.text("class");
+  if (Name == queryClassName(QueryClass::Batch))
+    return QueryClass::Batch;
+  if (Name != queryClassName(QueryClass::Interactive))
+    Fields.fail(ResultCode::BadClass,
+                Fields.where() + ".class must be interactive or batch, not " +
+                    Name);
+  return QueryClass::Interactive;
+}
+
+std::optional<Duration> readDeadline(const Json &Object, JsonFields &Fields) {
+  auto It = Object.find("deadline_ms");
+  if (It == Object.end())
+    return std::nullopt;
+  constexpr int64_t Lowest = MinQueryDeadline.count();
+  constexpr int64_t Highest = MaxQueryDeadline.count();
+  JsonFields Probe(Object, Fields.where());
+  int64_t Value = Probe.numberOr("deadline_ms", Lowest, Highest, Lowest);
+  if (Probe.failed())
+    Fields.fail(ResultCode::BadDeadline, Probe.error().Message);
+  return Milliseconds(Value);
+}
+
+std::optional<uint32_t> readLimit(const Json &Object, JsonFields &Fields) {
+  if (Object.find("limit") == Object.end())
+    return std::nullopt;
+  return static_cast<uint32_t>(Fields.number("limit", 1, MaxHitLimit));
+}
+
+bool needsNoEscape(std::string_view Text) {
+  return std::all_of(Text.begin(), Text.end(), [](char C) {
+    return C >= 0x20 && C < 0x7f && C != '"' && C != '\\';
+  });
+}
+
+void appendText(std::string &Out, const std::string &Text) {
+  if (!needsNoEscape(Text)) {
+    Out += Json(Text).dump(-1, ' ', false, Json::error_handler_t::replace);
+    return;
+  }
+  Out += '"';
+  Out += Text;
+  Out += '"';
+}
+
+template <typename Number> void appendNumber(std::string &Out, Number Value) {
+  // Enough for any 64-bit integer and for the shortest form of any double.
+  char Buffer[32];
+  auto End = std::to_chars(std::begin(Buffer), std::end(Buffer), Value).ptr;
+  Out.append(Buffer, End);
+}
+
+void appendHit(std::string &Out, const Hit &H) {
+  Out += "{\"shard\":";
+  appendNumber(Out, H.Shard.number());
+  Out += ",\"id\":";
+  appendText(Out, H.Id);
+  Out += ",\"score\":";
+  appendNumber(Out, H.Score);
+  Out += '}';
+}
+
+void appendCoverage(std::string &Out, const Coverage &C) {
+  Out += ",\"coverage\":{\"asked\":";
+  appendNumber(Out, C.Asked);
+  Out += ",\"answered\":";
+  appendNumber(Out, C.Answered);
+  Out += ",\"total\":";
+  appendNumber(Out, C.Total);
+  Out += '}';
+}
+
+void appendResult(std::string &Out, const QueryAnswer &Answer) {
+  Out += "{\"result\":{\"code\":";
+  appendNumber(Out, static_cast<int>(Answer.Code));
+  Out += ",\"name\":\"";
+  Out += resultCodeName(Answer.Code);
+  Out += "\",\"message\":";
+  appendText(Out, Answer.Message);
+  Out += '}';
+}
+
+} // namespace
+
+const char *queryClassName(QueryClass Class) {
+  return Class == QueryClass::Interactive ? "interactive" : "batch";
+}
+
+const char *executionName(Execution E) {
+  switch (E) {
+  case Execution::Ran:
+    return "ran";
+  case Execution::NotRun:
+    return "not_run";
+  case Execution::Unknown:
+    break;
+  }
+  return "unknown";
+}
+
+Result<QueryRequest> parseQuery(std::string_view Body) {
+  if (nestingOf(Body) > MaxQueryNesting)
+    return Error{ResultCode::BadJson, "the body is nested deeper than " +
+                                          std::to_string(MaxQueryNesting) +
+                                          " levels"};
+  Result<Json> Parsed = parseJson(Body);
+  if (!ok(Parsed))
+    return errorOf(Parsed);
+  const Json &Object = valueOf(Parsed);
+  JsonFields Fields(Object, "query");
+  if (Fields.failed())
+    return Fields.error();
+
+  QueryRequest Request;
+  Request.Service = ServiceId(Fields.text("service"));
+  Request.Caller = CallerId(Fields.text("caller"));
+  Request.Class = readClass(Fields);
+  Request.Deadline = readDeadline(Object, Fields);
+  Request.Idempotent = Fields.flagOr("idempotent", true);
+  Request.Key = RequestKey(Fields.textOr("request_key", ""));
+  Request.Query = Fields.object("query").dump();
+  Request.Limit = readLimit(Object, Fields);
+  checkLength(Request.Service.text(), "service", Fields);
+  checkLength(Request.Caller.text(), "caller", Fields);
+  checkLength(Request.Key.text(), "request_key", Fields);
+  if (!Request.Idempotent && Request.Key.empty())
+    Fields.fail(ResultCode::MissingRequestKey,
+                "query.request_key must be given if query.idempotent is false");
+  refuseUnknownFields(Object, Fields);
+  if (Fields.failed())
+    return Fields.error();
+  return Request;
+}
+
+std::string answerJson(const QueryAnswer &Answer) {
+  std::string Out;
+  size_t Size = AnswerReserve + Answer.Message.size();
+  for (const Hit &H : Answer.Hits)
+    Size += HitReserve + H.Id.size();
+  Out.reserve(Size);
+  appendResult(Out, Answer);
+  Out += ",\"execution\":\"";
+  Out += executionName(Answer.Outcome);
+  Out += Answer.Complete ? "\",\"complete\":true" : "\",\"complete\":false";
+  appendCoverage(Out, Answer.Shards);
+  Out += ",\"snapshot\":";
+  appendText(Out, Answer.Snapshot.text());
+  Out += ",\"hits\":[";
+  for (const Hit &H : Answer.Hits) {
+    if (&H != &Answer.Hits.front())
+      Out += ',';
+    appendHit(Out, H);
+  }
+  Out += "],\"elapsed_ms\":";
+  appendNumber(Out, inMilliseconds(Answer.Elapsed));
+  Out += ",\"end\":true}";
+  return Out;
+}
+
+} // namespace mimosa
--- /dev/null
+++ b/query/session.cpp
@@ -0,0 +1,326 @@
+#include "query/session.h"
+
+#include <algorithm>
+
+namespace mimosa {
+
+namespace {
+
+/// A pause is at most RetryPause << MaxPauseDoublings.
+constexpr uint8_t MaxPauseDoublings = 3;
+
+/// Shortest time until a denied hedge is tried again.
+constexpr Duration MinHedgeInterval = Milliseconds(1);
+
+/// A budget refills by a share of all sub-requests, so a later try of the same
+/// hedge often succeeds.
+Duration hedgeInterval(Duration HedgeDelay) {
+  return std::max(HedgeDelay, MinHedgeInterval);
+}
+
+} // namespace
+
+void QueryActions::clear() {
+  Sends.clear();
+  Cancels.clear();
+  Strike.reset();
+  Answer.reset();
+  WakeUp.reset();
+}
+
+QuerySession::QuerySession(const QuerySessionOptions &Options,
+                           ReplicaSource &Source, Random &Rand)
+    : Options(Options), Source(Source), Plan(Source, Rand),
+      Merged(Options.Limit),
+      Phase(Options.KnownGood ? SessionPhase::Running : SessionPhase::Canary) {}
+
+void QuerySession::start(MonotonicTime Now, QueryActions &Out) {
+  std::optional<SnapshotChoice> Choice = Source.chooseSnapshot(Excluded, Now);
+  if (!Choice || Choice->TotalShards == 0) {
+    finish(Error{ResultCode::NoBackend, "no snapshot of the index is known"},
+           Now, Out);
+    return;
+  }
+  pin(*Choice);
+  advance(Now, Out);
+}
+
+void QuerySession::pin(const SnapshotChoice &Choice) {
+  Snapshot = Choice.Snapshot;
+  Shards.assign(Choice.TotalShards, ShardState());
+  Subs.reserve(Subs.size() + Choice.TotalShards);
+  Attempts.reserve(Attempts.size() + Choice.TotalShards);
+  Merged.start(Choice.TotalShards);
+  FirstSub = static_cast<uint32_t>(Subs.size());
+  AskedShards = 0;
+  UnknownSnapshotRefusals = 0;
+  NextPlacement = MonotonicTime::min();
+  NextHedge = MonotonicTime::max();
+}
+
+void QuerySession::onTimer(MonotonicTime Now, QueryActions &Out) {
+  advance(Now, Out);
+}
+
+void QuerySession::advance(MonotonicTime Now, QueryActions &Out) {
+  if (finished())
+    return;
+  if (Now >= Options.Deadline || Merged.answered() == Merged.total()) {
+    finish(std::nullopt, Now, Out);
+    return;
+  }
+  if (Phase != SessionPhase::AwaitingStrike) {
+    place(Now, Out);
+    if (!finished() && Phase == SessionPhase::Running)
+      hedge(Now, Out);
+    if (!finished() && nothingLeftToDo())
+      finish(std::nullopt, Now, Out);
+  }
+  if (!finished())
+    Out.WakeUp = wakeUp();
+}
+
+bool QuerySession::waiting(const ShardState &S) const {
+  return !S.Answered && !S.Closed && S.InFlight == 0 &&
+         S.BackendLosses < MaxShardLosses;
+}
+
+bool QuerySession::nothingLeftToDo() const {
+  if (InFlight > 0)
+    return false;
+  // Waiting cannot help a query that was refused as a whole while the budget
+  // is spent; its caller can send it elsewhere.
+  if (RetryDenied && RanSubs == 0 && UncertainSubs == 0)
+    return true;
+  return std::none_of(Shards.begin(), Shards.end(), [&](const ShardState &S) {
+    return waiting(S) && !S.NoReplica;
+  });
+}
+
+MonotonicTime QuerySession::wakeUp() const {
+  MonotonicTime Next = Options.Deadline;
+  if (Phase == SessionPhase::Running)
+    Next = std::min(Next, NextPlacement);
+  if (Phase == SessionPhase::Running && Options.Idempotent)
+    Next = std::min(Next, NextHedge);
+  if (Phase == SessionPhase::Canary && InFlight == 0)
+    Next = std::min(Next, NextPlacement);
+  return Next;
+}
+
+void QuerySession::collectReady(MonotonicTime Now) {
+  ReadyFirst.clear();
+  ReadyRetry.clear();
+  NextPlacement = MonotonicTime::max();
+  for (uint32_t I = 0; I < Shards.size(); ++I) {
+    const ShardState &S = Shards[I];
+    if (!waiting(S))
+      continue;
+    if (S.NextTry > Now)
+      NextPlacement = std::min(NextPlacement, S.NextTry);
+    else
+      (S.Asked ? ReadyRetry : ReadyFirst).push_back(I);
+  }
+}
+
+void QuerySession::place(MonotonicTime Now, QueryActions &Out) {
+  bool CanaryOut = Phase == SessionPhase::Canary && InFlight > 0;
+  if (Now < NextPlacement || CanaryOut)
+    return;
+  RetryDenied = false;
+  collectReady(Now);
+  placeReady(ReadyFirst, SubKind::First, Now, Out);
+  if (finished() || (Phase == SessionPhase::Canary && InFlight > 0))
+    return;
+  placeReady(ReadyRetry, SubKind::Retry, Now, Out);
+}
+
+void QuerySession::placeReady(std::vector<uint32_t> &Ready, SubKind Kind,
+                              MonotonicTime Now, QueryActions &Out) {
+  if (Ready.empty())
+    return;
+  Groups.clear();
+  Unplaced.clear();
+  auto MayAsk = [this](uint32_t Shard, uint32_t Backend) {
+    return mayAsk(Shard, Backend);
+  };
+  Plan.assign(Snapshot, Ready, MayAsk, Now, Groups, Unplaced);
+  // A request that runs at most once must not start if it cannot be complete.
+  if (!Options.Idempotent && Subs.empty() && !Unplaced.empty()) {
+    finish(Error{ResultCode::NoBackend, std::to_string(Unplaced.size()) +
+                                            " shards have no backend server"},
+           Now, Out);
+    return;
+  }
+  HedgeDelay = Source.hedgeDelay(Now);
+  for (const ShardGroup &Group : Groups) {
+    if (Kind == SubKind::First || Source.takeExtra(ExtraLoad::Retry, Now)) {
+      send(Group, Kind, Now, Out);
+      if (Phase == SessionPhase::Canary)
+        break;
+      continue;
+    }
+    ++Counters.RetriesDenied;
+    RetryDenied = true;
+    for (uint32_t Shard : Group.Shards)
+      postpone(Shards[Shard], Now);
+  }
+  postponeUnplaced(Now);
+}
+
+void QuerySession::postponeUnplaced(MonotonicTime Now) {
+  for (uint32_t I : Unplaced) {
+    ShardState &S = Shards[I];
+    S.NoReplica = Source.replicas(Snapshot, ShardId(I)).empty();
+    S.RoundStart = static_cast<uint32_t>(Subs.size());
+    postpone(S, Now);
+  }
+}
+
+void QuerySession::postpone(ShardState &S, MonotonicTime Now) {
+  S.NextTry = Now + Options.RetryPause * (1 << S.Pauses);
+  S.Pauses = std::min<uint8_t>(S.Pauses + 1, MaxPauseDoublings);
+  NextPlacement = std::min(NextPlacement, S.NextTry);
+}
+
+bool QuerySession::mayAsk(uint32_t Shard, uint32_t Backend) const {
+  const ShardState &S = Shards[Shard];
+  for (uint32_t I = S.LastAttempt; I != NoBackend; I = Attempts[I].Previous) {
+    const SubRequest &Tried = Subs[Attempts[I].Sub];
+    bool Counts =
+        Attempts[I].Sub >= S.RoundStart || Tried.State == SubState::InFlight;
+    if (Tried.Backend == Backend && Counts)
+      return false;
+  }
+  return true;
+}
+
+void QuerySession::send(const ShardGroup &Group, SubKind Kind,
+                        MonotonicTime Now, QueryActions &Out) {
+  auto Index = static_cast<uint32_t>(Subs.size());
+  SubRequest &Sub = Subs.emplace_back();
+  Sub.Backend = Group.Backend;
+  Sub.FirstAttempt = static_cast<uint32_t>(Attempts.size());
+  Sub.Count = Sub.Pending = static_cast<uint32_t>(Group.Shards.size());
+  Sub.Kind = Kind;
+  Sub.Canary = Phase == SessionPhase::Canary;
+  Sub.SentAt = Now;
+  Sub.HedgeAt = Now + HedgeDelay;
+  NextHedge = std::min(NextHedge, Sub.HedgeAt);
+
+  SubRequestSend &Send = Out.Sends.emplace_back();
+  Send.Number = SubRequestNumber(Index);
+  Send.Backend = Plan.id(Group.Backend);
+  Send.Snapshot = Snapshot;
+  Send.Shards.reserve(Group.Shards.size());
+  for (uint32_t Shard : Group.Shards) {
+    ShardState &S = Shards[Shard];
+    AskedShards += S.Asked ? 0 : 1;
+    S.Asked = true;
+    S.NoReplica = false;
+    ++S.InFlight;
+    Attempts.push_back({Shard, Index, S.LastAttempt});
+    S.LastAttempt = static_cast<uint32_t>(Attempts.size() - 1);
+    Send.Shards.emplace_back(Shard);
+  }
+  ++InFlight;
+  ++Counters.SubRequests;
+  Counters.Retries += Kind == SubKind::Retry ? 1 : 0;
+  Counters.Hedges += Kind == SubKind::Hedge ? 1 : 0;
+  Counters.Canaries += Sub.Canary ? 1 : 0;
+  Source.sent(Send.Backend, Now);
+}
+
+void QuerySession::hedge(MonotonicTime Now, QueryActions &Out) {
+  if (!Options.Idempotent || Now < NextHedge)
+    return;
+  NextHedge = MonotonicTime::max();
+  // The hedges themselves are appended to Subs; their time has not come.
+  const auto Count = static_cast<uint32_t>(Subs.size());
+  for (uint32_t I = FirstSub; I < Count; ++I) {
+    if (Subs[I].State != SubState::InFlight)
+      continue;
+    if (Subs[I].HedgeAt <= Now)
+      hedgeSub(I, Now, Out);
+    NextHedge = std::min(NextHedge, Subs[I].HedgeAt);
+  }
+}
+
+void QuerySession::hedgeSub(uint32_t SubIndex, MonotonicTime Now,
+                            QueryActions &Out) {
+  const uint32_t First = Subs[SubIndex].FirstAttempt;
+  const uint32_t Count = Subs[SubIndex].Count;
+  ReadyFirst.clear();
+  for (uint32_t I = First; I < First + Count; ++I) {
+    const ShardState &S = Shards[Attempts[I].Shard];
+    if (!S.Answered && S.InFlight == 1 && S.BackendLosses + 1U < MaxShardLosses)
+      ReadyFirst.push_back(Attempts[I].Shard);
+  }
+  // Armed again by rearmHedges() when the other copy of a shard ends.
+  Subs[SubIndex].HedgeAt = MonotonicTime::max();
+  if (ReadyFirst.empty())
+    return;
+  Groups.clear();
+  Unplaced.clear();
+  auto MayAsk = [this](uint32_t Shard, uint32_t Backend) {
+    return mayAsk(Shard, Backend);
+  };
+  Plan.assign(Snapshot, ReadyFirst, MayAsk, Now, Groups, Unplaced);
+  HedgeDelay = Source.hedgeDelay(Now);
+  for (const ShardGroup &Group : Groups) {
+    if (!Source.takeExtra(ExtraLoad::Hedge, Now)) {
+      ++Counters.HedgesDenied;
+      Subs[SubIndex].HedgeAt = Now + hedgeInterval(HedgeDelay);
+      return;
+    }
+    send(Group, SubKind::Hedge, Now, Out);
+  }
+}
+
+void QuerySession::finish(std::optional<Error> Why, MonotonicTime Now,
+                          QueryActions &Out) {
+  if (Phase == SessionPhase::AwaitingStrike)
+    ++Counters.StrikesUnacknowledged;
+  cancelAll(Now, Out);
+  Phase = SessionPhase::Finished;
+  Out.WakeUp.reset();
+  QueryAnswer &Answer = Out.Answer.emplace();
+  Answer.Shards = {AskedShards, Merged.answered(), Merged.total()};
+  Answer.Complete = Merged.total() > 0 && Merged.answered() == Merged.total();
+  Answer.Outcome = execution();
+  Error Reason = Why ? std::move(*Why) : explain(Now);
+  Answer.Code = Reason.Code;
+  Answer.Message = std::move(Reason.Message);
+  Answer.Snapshot = Snapshot;
+  Answer.Hits = Merged.take();
+  Answer.Elapsed = Now - Options.Received;
+}
+
+Execution QuerySession::execution() const {
+  if (RanSubs == 0 && UncertainSubs == 0)
+    return Execution::NotRun;
+  if (!Options.Idempotent && UncertainSubs > 0)
+    return Execution::Unknown;
+  return Merged.answered() > 0 ? Execution::Ran : Execution::Unknown;
+}
+
+Error QuerySession::explain(MonotonicTime Now) const {
+  if (Merged.answered() == Merged.total())
+    return {ResultCode::Ok, ""};
+  std::string Missing = std::to_string(Merged.total() - Merged.answered()) +
+                        " of " + std::to_string(Merged.total()) +
+                        " shards did not answer";
+  if (!Options.Idempotent && UncertainSubs > 0)
+    return {ResultCode::OutcomeUnknown, Missing + " and may have run"};
+  if (Merged.answered() > 0)
+    return {ResultCode::Partial, Missing};
+  if (AskedShards == 0 && Now < Options.Deadline)
+    return {ResultCode::NoBackend, "no shard has a backend server"};
+  if (AskedShards > 0 && RanSubs == 0 && UncertainSubs == 0)
+    return {ResultCode::BackendRefused, "the backend servers refused"};
+  if (Now >= Options.Deadline)
+    return {ResultCode::DeadlineExceeded, Missing + " before the deadline"};
+  return {ResultCode::BackendLost, Missing};
+}
+
+} // namespace mimosa
