Add the runtime: fibers over Asio, HTTP, peer frames, settings, logs, metrics

Cause: all programs need the same event loop and transports. Change: runtime/ with an Asio scheduler for Boost.Fiber that polls only from the dispatcher fiber (polling from a fiber that is being suspended could make it resume itself), an HTTP server that notices lost callers, an HTTP client, framed peer connections, popt settings, log4cxx and Boost.Histogram metrics. Conclusion: the shell of the daemon and the stand-ins can be written.

--- /dev/null
+++ b/runtime/asio_fiber.cpp
@@ -0,0 +1,63 @@
+#include "runtime/asio_fiber.h"
+
+#include <charconv>
+
+namespace mimosa {
+
+using boost::fibers::context;
+using boost::fibers::type;
+
+void AsioScheduler::awakened(context *Fiber) noexcept {
+  Fiber->ready_link(Queue);
+  if (!Fiber->is_context(type::dispatcher_context))
+    ++ReadyFibers;
+}
+
+context *AsioScheduler::pick_next() noexcept {
+  // The dispatcher is active once a round. Only it may run handlers here: a
+  // handler that wakes the fiber which is just being suspended would make that
+  // fiber resume itself.
+  if (context::active()->is_context(type::dispatcher_context))
+    Io.poll();
+  if (Queue.empty())
+    return nullptr;
+  context *Next = &Queue.front();
+  Queue.pop_front();
+  if (!Next->is_context(type::dispatcher_context))
+    --ReadyFibers;
+  return Next;
+}
+
+void AsioScheduler::suspend_until(
+    const std::chrono::steady_clock::time_point &Deadline) noexcept {
+  if (Deadline == std::chrono::steady_clock::time_point::max())
+    Io.run_one();
+  else
+    Io.run_one_until(Deadline);
+}
+
+void AsioScheduler::notify() noexcept {
+  asio::post(Io, [] {});
+}
+
+Result<tcp::endpoint> parseEndpoint(std::string_view Address) {
+  Error Malformed{ResultCode::BadSetting, "address '" + std::string(Address) +
+                                              "' must be an IP number and a "
+                                              "port, such as 127.0.0.1:8080"};
+  size_t Colon = Address.rfind(':');
+  if (Colon == std::string_view::npos)
+    return Malformed;
+  error_code Failure;
+  auto Ip =
+      asio::ip::make_address(std::string(Address.substr(0, Colon)), Failure);
+  uint16_t Port = 0;
+  std::string_view Digits = Address.substr(Colon + 1);
+  auto Parsed =
+      std::from_chars(Digits.data(), Digits.data() + Digits.size(), Port);
+  if (Failure || Parsed.ec != std::errc() ||
+      Parsed.ptr != Digits.data() + Digits.size())
+    return Malformed;
+  return tcp::endpoint(Ip, Port);
+}
+
+} // namespace mimosa
--- /dev/null
+++ b/runtime/fiber_loop.cpp
@@ -0,0 +1,153 @@
+#include "runtime/fiber_loop.h"
+
+#include "runtime/asio_fiber.h"
+
+#include <csignal>
+
+namespace mimosa {
+
+namespace {
+
+// Stacks are virtual memory; only touched pages count. 128 KiB leaves room for
+// the JSON parser and the log library.
+constexpr size_t FiberStackBytes = 128 * 1024;
+
+/// Runs a callback on a steady timer until it is destroyed.
+class Timer : public std::enable_shared_from_this<Timer> {
+public:
+  Timer(asio::io_context &Io, Duration Interval, bool Repeats,
+        std::function<void()> Callback)
+      : Clock(Io), Interval(Interval), Repeats(Repeats),
+        Callback(std::move(Callback)) {}
+
+  void start() {
+    Clock.expires_after(Interval);
+    arm();
+  }
+  void cancel() {
+    Cancelled = true;
+    Clock.cancel();
+  }
+
+private:
+  void arm() {
+    Clock.async_wait([Self = shared_from_this()](error_code Failure) {
+      if (Failure || Self->Cancelled)
+        return;
+      Self->Callback();
+      if (!Self->Repeats || Self->Cancelled)
+        return;
+      // Counted from now on: after a pause one call is made, not a burst.
+      Self->Clock.expires_after(Self->Interval);
+      Self->arm();
+    });
+  }
+
+  asio::steady_timer Clock;
+  Duration Interval;
+  bool Repeats;
+  bool Cancelled = false;
+  std::function<void()> Callback;
+};
+
+Subscription subscribe(asio::io_context &Io, Duration Interval, bool Repeats,
+                       std::function<void()> Callback) {
+  auto NewTimer =
+      std::make_shared<Timer>(Io, Interval, Repeats, std::move(Callback));
+  NewTimer->start();
+  return Subscription(std::shared_ptr<void>(
+      NewTimer.get(), [NewTimer](void *) { NewTimer->cancel(); }));
+}
+
+} // namespace
+
+FiberLoop::FiberLoop() : State(std::make_unique<Impl>()) {
+  // A peer that closed its connection must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+FiberLoop::~FiberLoop() = default;
+
+void FiberLoop::run(const std::function<void()> &Main) {
+  boost::fibers::use_scheduling_algorithm<AsioScheduler>(State->Io);
+  auto KeepIoRunning = asio::make_work_guard(State->Io);
+  asio::signal_set Signals(State->Io, SIGTERM, SIGINT);
+  Signals.async_wait([this](error_code Failure, int) {
+    if (!Failure)
+      stop();
+  });
+  Main();
+}
+
+void FiberLoop::spawn(std::function<void()> Body) {
+  static boost::fibers::pooled_fixedsize_stack Stacks(FiberStackBytes);
+  boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg, Stacks,
+                       std::move(Body))
+      .detach();
+}
+
+void FiberLoop::sleepFor(Duration Time) { boost::this_fiber::sleep_for(Time); }
+
+void FiberLoop::yield() { boost::this_fiber::yield(); }
+
+void FiberLoop::stop() {
+  State->Stopping = true;
+  State->Changed.notify_all();
+}
+
+bool FiberLoop::stopping() const { return State->Stopping; }
+
+void FiberLoop::waitForStop() {
+  std::unique_lock<boost::fibers::mutex> Guard(State->Lock);
+  State->Changed.wait(Guard, [this] { return State->Stopping; });
+}
+
+MonotonicTime FiberLoop::now() const {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+Subscription FiberLoop::every(Duration Interval,
+                              std::function<void()> Callback) {
+  return subscribe(State->Io, Interval, true, std::move(Callback));
+}
+
+Subscription FiberLoop::after(Duration Delay, std::function<void()> Callback) {
+  return subscribe(State->Io, Delay, false, std::move(Callback));
+}
+
+struct FiberEvent::Impl {
+  bool IsSet = false;
+  boost::fibers::condition_variable_any Changed;
+};
+
+namespace {
+/// A lock that does nothing: all fibers share one thread.
+struct NoLock {
+  void lock() {}
+  void unlock() {}
+};
+} // namespace
+
+FiberEvent::FiberEvent() : State(std::make_unique<Impl>()) {}
+FiberEvent::~FiberEvent() = default;
+
+void FiberEvent::set() {
+  State->IsSet = true;
+  State->Changed.notify_all();
+}
+
+void FiberEvent::clear() { State->IsSet = false; }
+
+bool FiberEvent::waitUntil(MonotonicTime Deadline) {
+  NoLock Lock;
+  return State->Changed.wait_until(Lock, Deadline,
+                                   [this] { return State->IsSet; });
+}
+
+void FiberEvent::wait() {
+  NoLock Lock;
+  State->Changed.wait(Lock, [this] { return State->IsSet; });
+}
+
+} // namespace mimosa
--- /dev/null
+++ b/runtime/fiber_loop.h
@@ -0,0 +1,81 @@
+// The event loop of a program: one thread that runs fibers over an io_context.
+// All parts of a daemon live in this thread, so they need no locks.
+//
+//   FiberLoop Loop;
+//   Loop.run([&] {
+//     Loop.spawn([&] { serve(); });
+//     Loop.waitForStop();
+//   });
+//
+// run() returns when its function returns. SIGTERM and SIGINT call stop().
+
+#ifndef MIMOSA_RUNTIME_FIBER_LOOP_H
+#define MIMOSA_RUNTIME_FIBER_LOOP_H
+
+#include "base/result.h"
+#include "base/timer_service.h"
+
+#include <functional>
+#include <memory>
+
+namespace mimosa {
+
+class FiberLoop : public TimerService {
+public:
+  FiberLoop();
+  ~FiberLoop() override;
+  FiberLoop(const FiberLoop &) = delete;
+  FiberLoop &operator=(const FiberLoop &) = delete;
+
+  /// Runs \p Main as the first fiber and returns when it returns. Fibers that
+  /// were spawned and still run are abandoned; the process is expected to exit.
+  void run(const std::function<void()> &Main);
+
+  /// Starts a fiber.
+  void spawn(std::function<void()> Body);
+
+  /// Suspends the calling fiber.
+  static void sleepFor(Duration Time);
+
+  /// Lets other ready fibers run.
+  static void yield();
+
+  /// Makes waitForStop() return; may be called more than once.
+  void stop();
+  bool stopping() const;
+  /// Suspends the calling fiber until stop() or a termination signal.
+  void waitForStop();
+
+  MonotonicTime now() const override;
+  [[nodiscard]] Subscription every(Duration Interval,
+                                   std::function<void()> Callback) override;
+  [[nodiscard]] Subscription after(Duration Delay,
+                                   std::function<void()> Callback) override;
+
+  struct Impl;
+  Impl &impl() { return *State; }
+
+private:
+  std::unique_ptr<Impl> State;
+};
+
+/// A one-thread event: fibers wait until it is set.
+class FiberEvent {
+public:
+  FiberEvent();
+  ~FiberEvent();
+  /// Wakes all waiting fibers; the event stays set until clear().
+  void set();
+  void clear();
+  /// Waits until the event is set or \p Deadline has passed; true if set.
+  bool waitUntil(MonotonicTime Deadline);
+  void wait();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> State;
+};
+
+} // namespace mimosa
+
+#endif // MIMOSA_RUNTIME_FIBER_LOOP_H
--- /dev/null
+++ b/runtime/http_client.cpp
@@ -0,0 +1,105 @@
+#include "runtime/asio_fiber.h"
+#include "runtime/http.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace mimosa {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr size_t MaxAnswerBytes = 16 << 20;
+
+Error ioError(const std::string &Address, const char *Step,
+              error_code Failure) {
+  ResultCode Code = Failure == beast::error::timeout ? ResultCode::Timeout
+                                                     : ResultCode::BackendLost;
+  return Error{Code, std::string(Step) + " " + Address +
+                         " failed: " + Failure.message()};
+}
+
+} // namespace
+
+struct HttpConnection::Impl {
+  explicit Impl(asio::io_context &Io) : Stream(Io) {}
+  beast::tcp_stream Stream;
+  beast::flat_buffer Buffer;
+  std::string Address;
+  bool Open = false;
+};
+
+HttpConnection::HttpConnection(std::unique_ptr<Impl> State)
+    : State(std::move(State)) {}
+
+HttpConnection::~HttpConnection() { close(); }
+
+Result<std::unique_ptr<HttpConnection>>
+HttpConnection::open(FiberLoop &Loop, const std::string &Address,
+                     Duration Timeout) {
+  auto Endpoint = parseEndpoint(Address);
+  if (!ok(Endpoint))
+    return errorOf(Endpoint);
+  auto State = std::make_unique<Impl>(Loop.impl().Io);
+  State->Address = Address;
+  State->Stream.expires_after(Timeout);
+  IoOutcome Out = awaitIo([&](auto Handler) {
+    State->Stream.async_connect(valueOf(Endpoint), std::move(Handler));
+  });
+  if (Out.Failure)
+    return ioError(Address, "connecting to", Out.Failure);
+  error_code Ignored;
+  State->Stream.socket().set_option(tcp::no_delay(true), Ignored);
+  State->Open = true;
+  return std::unique_ptr<HttpConnection>(new HttpConnection(std::move(State)));
+}
+
+Result<HttpResponse> HttpConnection::exchange(const HttpRequest &Request,
+                                              Duration Timeout) {
+  Impl &S = *State;
+  if (!S.Open)
+    return Error{ResultCode::BackendLost,
+                 "the connection to " + S.Address + " is closed"};
+  http::request<http::string_body> Out(http::string_to_verb(Request.Method),
+                                       Request.Target, 11);
+  Out.set(http::field::host, S.Address);
+  if (Request.Forwarded)
+    Out.set("mimosa-forwarded", "1");
+  Out.body() = Request.Body;
+  Out.prepare_payload();
+  S.Stream.expires_after(Timeout);
+  IoOutcome Written = awaitIo([&](auto Handler) {
+    http::async_write(S.Stream, Out, std::move(Handler));
+  });
+  if (Written.Failure) {
+    close();
+    return ioError(S.Address, "writing to", Written.Failure);
+  }
+  http::response_parser<http::string_body> Parser;
+  Parser.body_limit(MaxAnswerBytes);
+  IoOutcome Read = awaitIo([&](auto Handler) {
+    http::async_read(S.Stream, S.Buffer, Parser, std::move(Handler));
+  });
+  if (Read.Failure) {
+    close();
+    return ioError(S.Address, "reading from", Read.Failure);
+  }
+  auto Message = Parser.release();
+  if (!Message.keep_alive())
+    close();
+  HttpResponse Answer;
+  Answer.Status = static_cast<int>(Message.result_int());
+  Answer.Body = std::move(Message.body());
+  return Answer;
+}
+
+void HttpConnection::close() {
+  State->Open = false;
+  State->Stream.close();
+}
+
+bool HttpConnection::isOpen() const { return State->Open; }
+
+} // namespace mimosa
--- /dev/null
+++ b/runtime/metrics.h
@@ -0,0 +1,73 @@
+// Metrics of a process: counters, gauges and histograms with labels, rendered
+// as Prometheus text.
+//
+//   Counter &Queries = Registry.counter("mimosa_queries_total",
+//                                       {{"service", "storm"}});
+//   Queries.add();
+//   Registry.histogram("mimosa_query_seconds", Labels).record(Elapsed);
+//
+// References stay valid as long as the registry.
+
+#ifndef MIMOSA_RUNTIME_METRICS_H
+#define MIMOSA_RUNTIME_METRICS_H
+
+#include "base/time.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace mimosa {
+
+using Labels = std::map<std::string, std::string>;
+
+class Counter {
+public:
+  void add(uint64_t Count = 1) { Value += Count; }
+  uint64_t value() const { return Value; }
+
+private:
+  uint64_t Value = 0;
+};
+
+/// A histogram of durations by Boost.Histogram: logarithmic buckets from 100
+/// microseconds to 100 seconds, 20 per decade.
+class LatencyHistogram {
+public:
+  LatencyHistogram();
+  ~LatencyHistogram();
+  void record(Duration Time);
+  uint64_t count() const;
+  /// Upper edge of the bucket that holds quantile \p Q (0 to 1); zero if empty.
+  Duration quantile(double Q) const;
+  /// The series in Prometheus text.
+  std::string render(const std::string &Name, const Labels &L) const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> State;
+};
+
+class MetricsRegistry {
+public:
+  Counter &counter(const std::string &Name, const Labels &L = {});
+  LatencyHistogram &histogram(const std::string &Name, const Labels &L = {});
+  /// A value that is read when the page is rendered.
+  void gauge(const std::string &Name, const Labels &L,
+             std::function<double()> Read);
+
+  /// All metrics as Prometheus text.
+  std::string render() const;
+
+private:
+  using Key = std::pair<std::string, Labels>;
+  std::map<Key, std::unique_ptr<Counter>> Counters;
+  std::map<Key, std::unique_ptr<LatencyHistogram>> Histograms;
+  std::map<Key, std::function<double()>> Gauges;
+};
+
+} // namespace mimosa
+
+#endif // MIMOSA_RUNTIME_METRICS_H
--- /dev/null
+++ b/runtime/peer_server.cpp
@@ -0,0 +1,97 @@
+#include "runtime/peer_stream.h"
+
+#include <set>
+
+namespace mimosa {
+
+namespace {
+constexpr Duration AcceptRetryDelay = Milliseconds(20);
+} // namespace
+
+struct PeerServer::Impl : std::enable_shared_from_this<PeerServer::Impl> {
+  Impl(FiberLoop &Loop, std::string Address, PeerHandler &Handler,
+       PeerTraffic &Traffic)
+      : Loop(Loop), Address(std::move(Address)), Handler(Handler),
+        Traffic(Traffic), Acceptor(Loop.impl().Io) {}
+
+  void acceptLoop();
+  void serve(const std::shared_ptr<PeerStream> &Stream);
+
+  FiberLoop &Loop;
+  std::string Address;
+  PeerHandler &Handler;
+  PeerTraffic &Traffic;
+  tcp::acceptor Acceptor;
+  std::set<std::shared_ptr<PeerStream>> Streams;
+  bool Stopped = false;
+};
+
+void PeerServer::Impl::serve(const std::shared_ptr<PeerStream> &Stream) {
+  Streams.insert(Stream);
+  Stream->readFrames([&](const PeerFrame &Frame) {
+    uint64_t RequestId = Frame.RequestId;
+    std::weak_ptr<PeerStream> Weak = Stream;
+    bool Known = Handler.handleFrame(
+        Frame, [Weak, RequestId](MessageType Type, std::string Body) {
+          if (auto Live = Weak.lock())
+            Live->write({Type, RequestId, std::move(Body)});
+        });
+    if (!Known)
+      ++Traffic.UnknownTypes;
+  });
+  Streams.erase(Stream);
+}
+
+void PeerServer::Impl::acceptLoop() {
+  auto Self = shared_from_this();
+  while (!Stopped) {
+    auto Stream = std::make_shared<PeerStream>(Loop, Traffic);
+    IoOutcome Out = awaitIo([&](auto Handler) {
+      Acceptor.async_accept(Stream->socket(), std::move(Handler));
+    });
+    if (Stopped)
+      return;
+    if (Out.Failure) {
+      FiberLoop::sleepFor(AcceptRetryDelay);
+      continue;
+    }
+    Stream->opened();
+    Loop.spawn([Self, Stream] { Self->serve(Stream); });
+  }
+}
+
+PeerServer::PeerServer(FiberLoop &Loop, std::string Address,
+                       PeerHandler &Handler, PeerTraffic &Traffic)
+    : State(
+          std::make_shared<Impl>(Loop, std::move(Address), Handler, Traffic)) {}
+
+PeerServer::~PeerServer() = default;
+
+Result<Done> PeerServer::start() {
+  auto Endpoint = parseEndpoint(State->Address);
+  if (!ok(Endpoint))
+    return errorOf(Endpoint);
+  error_code Failure;
+  tcp::acceptor &Acceptor = State->Acceptor;
+  Acceptor.open(valueOf(Endpoint).protocol(), Failure);
+  Acceptor.set_option(asio::socket_base::reuse_address(true), Failure);
+  Acceptor.bind(valueOf(Endpoint), Failure);
+  if (!Failure)
+    Acceptor.listen(asio::socket_base::max_listen_connections, Failure);
+  if (Failure)
+    return Error{ResultCode::BadSetting, "listening on " + State->Address +
+                                             " failed: " + Failure.message()};
+  State->Loop.spawn([Shared = State] { Shared->acceptLoop(); });
+  return Done{};
+}
+
+void PeerServer::stop() {
+  State->Stopped = true;
+  error_code Ignored;
+  State->Acceptor.close(Ignored);
+  auto Open = State->Streams;
+  for (const auto &Stream : Open)
+    Stream->close();
+}
+
+} // namespace mimosa
--- /dev/null
+++ b/runtime/peer_stream.cpp
@@ -0,0 +1,130 @@
+#include "runtime/peer_stream.h"
+
+#include <boost/endian/conversion.hpp>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace mimosa {
+
+namespace {
+
+constexpr size_t LengthBytes = 4;
+constexpr size_t ReadBytes = 64 * 1024;
+// A peer that reads nothing must not make this process hold its frames.
+constexpr size_t MaxWaitingBytes = 16 << 20;
+// A peer that acknowledges nothing for so long has lost the connection.
+constexpr unsigned UserTimeoutMs = 3000;
+
+uint32_t frameLength(const std::string &Bytes, size_t Offset) {
+  uint32_t Length = 0;
+  std::memcpy(&Length, Bytes.data() + Offset, sizeof(Length));
+  return boost::endian::big_to_native(Length);
+}
+
+} // namespace
+
+PeerStream::PeerStream(FiberLoop &Loop, PeerTraffic &Traffic)
+    : Loop(Loop), Traffic(Traffic), Socket(Loop.impl().Io),
+      LastUse(Loop.now()) {}
+
+Result<Done> PeerStream::connect(const tcp::endpoint &To, Duration Limit) {
+  Subscription Deadline = Loop.after(Limit, [this] { close(); });
+  IoOutcome Out = awaitIo(
+      [&](auto Handler) { Socket.async_connect(To, std::move(Handler)); });
+  if (Out.Failure) {
+    close();
+    return Error{ResultCode::PeerUnreachable,
+                 "connecting to a peer failed: " + Out.Failure.message()};
+  }
+  opened();
+  return Done{};
+}
+
+void PeerStream::opened() {
+  Open = true;
+  error_code Ignored;
+  Socket.set_option(tcp::no_delay(true), Ignored);
+  setsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+             &UserTimeoutMs, sizeof(UserTimeoutMs));
+}
+
+void PeerStream::write(const PeerFrame &Frame) {
+  if (!Open || Waiting.size() > MaxWaitingBytes)
+    return;
+  std::string Bytes = encodeFrame(Frame);
+  auto Type = static_cast<uint32_t>(Frame.Type);
+  ++Traffic.FramesSent[Type];
+  Traffic.BytesSent[Type] += Bytes.size();
+  Waiting += Bytes;
+  LastUse = Loop.now();
+  if (FlushScheduled)
+    return;
+  FlushScheduled = true;
+  asio::post(Socket.get_executor(),
+             [Self = shared_from_this()] { Self->flush(); });
+}
+
+void PeerStream::flush() {
+  if (!Open || Waiting.empty()) {
+    FlushScheduled = false;
+    return;
+  }
+  Writing.swap(Waiting);
+  Waiting.clear();
+  asio::async_write(Socket, asio::buffer(Writing),
+                    [Self = shared_from_this()](error_code Failure, size_t) {
+                      if (Failure)
+                        Self->close();
+                      Self->flush();
+                    });
+}
+
+void PeerStream::readFrames(const std::function<void(PeerFrame)> &Take) {
+  std::string Bytes;
+  size_t Begin = 0;
+  while (Open) {
+    size_t Had = Bytes.size();
+    Bytes.resize(Had + ReadBytes);
+    IoOutcome Out = awaitIo([&](auto Handler) {
+      Socket.async_read_some(asio::buffer(&Bytes[Had], ReadBytes),
+                             std::move(Handler));
+    });
+    Bytes.resize(Had + Out.Bytes);
+    if (Out.Failure)
+      break;
+    LastUse = Loop.now();
+    while (Open && Bytes.size() - Begin >= LengthBytes) {
+      uint32_t Length = frameLength(Bytes, Begin);
+      if (Length > MaxFrameBytes) {
+        ++Traffic.BadFrames;
+        close();
+        break;
+      }
+      if (Bytes.size() - Begin - LengthBytes < Length)
+        break;
+      Result<PeerFrame> Frame = decodeFrame(
+          std::string_view(Bytes).substr(Begin + LengthBytes, Length));
+      Begin += LengthBytes + Length;
+      if (!ok(Frame)) {
+        ++Traffic.BadFrames;
+        close();
+        break;
+      }
+      auto Type = static_cast<uint32_t>(valueOf(Frame).Type);
+      ++Traffic.FramesReceived[Type];
+      Traffic.BytesReceived[Type] += LengthBytes + Length;
+      Take(valueOf(std::move(Frame)));
+    }
+    Bytes.erase(0, Begin);
+    Begin = 0;
+  }
+  close();
+}
+
+void PeerStream::close() {
+  Open = false;
+  error_code Ignored;
+  Socket.close(Ignored);
+}
+
+} // namespace mimosa
--- /dev/null
+++ b/runtime/settings.cpp
@@ -0,0 +1,184 @@
+#include "runtime/settings.h"
+
+#include <charconv>
+#include <cstdio>
+#include <cstdlib>
+#include <popt.h>
+
+namespace mimosa {
+
+namespace {
+constexpr const char *Version = "0.1.0";
+constexpr int VersionOption = 1;
+constexpr int FirstSettingOption = 1000;
+constexpr int UsageError = 2;
+
+std::string variableName(const std::string &Flag) {
+  std::string Out = "MIMOSA_";
+  for (char C : Flag)
+    Out.push_back(
+        C == '-' ? '_'
+                 : static_cast<char>(toupper(static_cast<unsigned char>(C))));
+  return Out;
+}
+} // namespace
+
+struct Settings::Setting {
+  enum class Kind { Text, Number, Toggle };
+  std::string Name;
+  std::string Help;
+  Kind Type = Kind::Text;
+  std::string *TextValue = nullptr;
+  int64_t *NumberValue = nullptr;
+  bool *ToggleValue = nullptr;
+  int64_t Lowest = 0;
+  int64_t Highest = 0;
+  bool Required = false;
+};
+
+Settings::Settings(std::string Program, std::string Purpose,
+                   std::string Arguments)
+    : Program(std::move(Program)), Purpose(std::move(Purpose)),
+      Arguments(std::move(Arguments)) {}
+
+Settings::~Settings() = default;
+
+void Settings::text(const char *Name, const char *Help, std::string *Value,
+                    bool Required) {
+  auto New = std::make_unique<Setting>();
+  New->Name = Name;
+  New->Help = Help;
+  New->TextValue = Value;
+  New->Required = Required;
+  All.push_back(std::move(New));
+}
+
+void Settings::number(const char *Name, const char *Help, int64_t *Value,
+                      int64_t Lowest, int64_t Highest) {
+  auto New = std::make_unique<Setting>();
+  New->Name = Name;
+  New->Help = std::string(Help) + " (" + std::to_string(Lowest) + " to " +
+              std::to_string(Highest) + ", default " + std::to_string(*Value) +
+              ")";
+  New->Type = Setting::Kind::Number;
+  New->NumberValue = Value;
+  New->Lowest = Lowest;
+  New->Highest = Highest;
+  All.push_back(std::move(New));
+}
+
+void Settings::toggle(const char *Name, const char *Help, bool *Value) {
+  auto New = std::make_unique<Setting>();
+  New->Name = Name;
+  New->Help = Help;
+  New->Type = Setting::Kind::Toggle;
+  New->ToggleValue = Value;
+  All.push_back(std::move(New));
+}
+
+std::string Settings::assign(Setting &S, const std::string &Value,
+                             bool FromVariable) {
+  std::string Label =
+      FromVariable ? "variable " + variableName(S.Name) : "flag --" + S.Name;
+  if (S.Type == Setting::Kind::Text) {
+    *S.TextValue = Value;
+    return "";
+  }
+  if (S.Type == Setting::Kind::Toggle) {
+    if (Value != "0" && Value != "1")
+      return Label + " is '" + Value + "' but must be 0 or 1";
+    *S.ToggleValue = Value == "1";
+    return "";
+  }
+  int64_t Number = 0;
+  const char *End = Value.data() + Value.size();
+  auto Parsed = std::from_chars(Value.data(), End, Number);
+  if (Parsed.ec != std::errc() || Parsed.ptr != End || Number < S.Lowest ||
+      Number > S.Highest)
+    return Label + " is '" + Value + "' but must be a whole number from " +
+           std::to_string(S.Lowest) + " to " + std::to_string(S.Highest);
+  *S.NumberValue = Number;
+  return "";
+}
+
+std::string Settings::readVariables() {
+  for (auto &S : All) {
+    const char *Value = std::getenv(variableName(S->Name).c_str());
+    if (!Value)
+      continue;
+    std::string Problem = assign(*S, Value, true);
+    if (!Problem.empty())
+      return Problem;
+  }
+  return "";
+}
+
+std::string Settings::readFlags(int Argc, const char *const *Argv,
+                                bool *ShowVersion) {
+  std::vector<poptOption> Table;
+  for (size_t I = 0; I < All.size(); ++I) {
+    bool IsToggle = All[I]->Type == Setting::Kind::Toggle;
+    Table.push_back(
+        {All[I]->Name.c_str(), '\0',
+         static_cast<unsigned>(IsToggle ? POPT_ARG_NONE : POPT_ARG_STRING),
+         nullptr, FirstSettingOption + static_cast<int>(I),
+         All[I]->Help.c_str(), IsToggle ? nullptr : "VALUE"});
+  }
+  Table.push_back({"version", '\0', POPT_ARG_NONE, nullptr, VersionOption,
+                   "print the version and exit", nullptr});
+  poptOption AutoHelp[] = {POPT_AUTOHELP POPT_TABLEEND};
+  Table.push_back(AutoHelp[0]);
+  Table.push_back(POPT_TABLEEND);
+  poptContext Context = poptGetContext(
+      Program.c_str(), Argc, const_cast<const char **>(Argv), Table.data(), 0);
+  std::string Usage = "[FLAGS] " + Arguments + "\n" + Program + ": " + Purpose;
+  poptSetOtherOptionHelp(Context, Usage.c_str());
+  std::string Problem;
+  int Option = 0;
+  while (Problem.empty() && (Option = poptGetNextOpt(Context)) > 0) {
+    if (Option == VersionOption) {
+      *ShowVersion = true;
+      break;
+    }
+    char *Argument = poptGetOptArg(Context);
+    Problem = assign(*All[static_cast<size_t>(Option - FirstSettingOption)],
+                     Argument ? Argument : "1", false);
+    free(Argument);
+  }
+  if (Option < -1)
+    Problem =
+        std::string(poptBadOption(Context, 0)) + ": " + poptStrerror(Option);
+  while (const char *Argument = poptGetArg(Context))
+    Rest.emplace_back(Argument);
+  poptFreeContext(Context);
+  return Problem;
+}
+
+std::string Settings::checkRequired() const {
+  for (const auto &S : All)
+    if (S->Required && S->TextValue->empty())
+      return "flag --" + S->Name + " (or variable " + variableName(S->Name) +
+             ") is required: " + S->Help;
+  return "";
+}
+
+std::optional<int> Settings::parse(int Argc, const char *const *Argv) {
+  bool ShowVersion = false;
+  std::string Problem = readVariables();
+  if (Problem.empty())
+    Problem = readFlags(Argc, Argv, &ShowVersion);
+  if (Problem.empty() && ShowVersion) {
+    std::printf("%s %s\n", Program.c_str(), Version);
+    return 0;
+  }
+  if (Problem.empty())
+    Problem = checkRequired();
+  if (Problem.empty() && !Rest.empty() && Arguments.empty())
+    Problem = "unexpected argument '" + Rest.front() + "'";
+  if (Problem.empty())
+    return std::nullopt;
+  std::fprintf(stderr, "%s: %s\n", Program.c_str(), Problem.c_str());
+  return UsageError;
+}
+
+} // namespace mimosa
--- /dev/null
+++ b/runtime/settings.h
@@ -0,0 +1,63 @@
+// Settings from flags and environment variables. Each setting is a flag
+// --some-name and a variable MIMOSA_SOME_NAME; the flag wins.
+//
+//   Settings Parser("mimosad", "entry daemon of mimosawall");
+//   Parser.text("listen", "address for callers, ip:port", &Options.Listen);
+//   Parser.number("drain-ms", "...", &Options.DrainMs, 0, 600000);
+//   if (auto Exit = Parser.parse(Argc, Argv))
+//     return *Exit;
+
+#ifndef MIMOSA_RUNTIME_SETTINGS_H
+#define MIMOSA_RUNTIME_SETTINGS_H
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mimosa {
+
+class Settings {
+public:
+  /// \p Arguments describes what follows the flags, such as "COMMAND [FILE]";
+  /// empty if nothing may follow.
+  Settings(std::string Program, std::string Purpose,
+           std::string Arguments = "");
+  ~Settings();
+
+  /// A text setting; the value on entry is the default. A required one must
+  /// not be empty after parsing.
+  void text(const char *Name, const char *Help, std::string *Value,
+            bool Required = false);
+  /// A whole number in [\p Lowest, \p Highest].
+  void number(const char *Name, const char *Help, int64_t *Value,
+              int64_t Lowest, int64_t Highest);
+  /// A flag without a value; the variable is "1" or "0".
+  void toggle(const char *Name, const char *Help, bool *Value);
+
+  /// Reads variables, then flags. Returns an exit status if the program should
+  /// end: 0 after --help or --version, 2 after an error, which is printed.
+  std::optional<int> parse(int Argc, const char *const *Argv);
+
+  /// What followed the flags.
+  const std::vector<std::string> &arguments() const { return Rest; }
+
+private:
+  struct Setting;
+  struct Parsed;
+  std::string assign(Setting &S, const std::string &Value, bool FromVariable);
+  std::string readVariables();
+  std::string readFlags(int Argc, const char *const *Argv, bool *Version);
+  std::string checkRequired() const;
+
+  std::string Program;
+  std::string Purpose;
+  std::string Arguments;
+  std::vector<std::unique_ptr<Setting>> All;
+  std::vector<std::string> Rest;
+};
+
+} // namespace mimosa
+
+#endif // MIMOSA_RUNTIME_SETTINGS_H
