--- /dev/null
+++ b/dispatch/module.cmake
@@ -0,0 +1,1 @@
+mimosa_module(dispatch mimosa_base)
