--- /dev/null
+++ b/backend/extra_budget.cpp
@@ -0,0 +1,33 @@
+#include "backend/extra_budget.h"
+
+#include <algorithm>
+
+namespace mimosa {
+
+// The share of retries is a moving average over about this many sub-requests.
+constexpr double RetryShareWindow = 500;
+
+bool ExtraBudget::take(ExtraLoad Kind) {
+  if (Kind == ExtraLoad::Retry)
+    RetryShare += 1 / RetryShareWindow;
+  double Needed = 1;
+  if (Kind != ExtraLoad::Retry)
+    Needed += Options.RetryReserve;
+  if (Tokens < Needed)
+    return false;
+  Tokens -= 1;
+  ++ExtrasToSend;
+  return true;
+}
+
+void ExtraBudget::sent(MonotonicTime Now) {
+  if (ExtrasToSend) {
+    --ExtrasToSend;
+    return;
+  }
+  double Earned = faulty(Now) ? Options.FaultShare : Options.SteadyShare;
+  Tokens = std::min(Options.MaxTokens, Tokens + Earned);
+  RetryShare -= RetryShare / RetryShareWindow;
+}
+
+} // namespace mimosa
--- a/backend/module.cmake
+++ b/backend/module.cmake
@@ -1,1 +1,4 @@
 mimosa_module(backend mimosa_base)
+
+add_executable(backend_benchmark backend/directory_benchmark_main.cpp)
+target_link_libraries(backend_benchmark PRIVATE mimosa_backend)
