--- a/config/config.cpp
+++ b/config/config.cpp
@@ -6,8 +6,8 @@
   return State == ZoneState::In ? "in" : "out";
 }
 
-const char *backendStateName(BackendState State) {
-  return State == BackendState::In ? "in" : "draining";
+const char *backendStateName(BackendAdminState State) {
+  return State == BackendAdminState::In ? "in" : "draining";
 }
 
 const Service *Config::service(const ServiceId &Id) const {
--- a/config/config.h
+++ b/config/config.h
@@ -39,13 +39,13 @@
 enum class ZoneState { In, Out };
 
 /// Whether a backend server gets new work.
-enum class BackendState { In, Draining };
+enum class BackendAdminState { In, Draining };
 
 /// "in" or "out".
 const char *zoneStateName(ZoneState State);
 
 /// "in" or "draining".
-const char *backendStateName(BackendState State);
+const char *backendStateName(BackendAdminState State);
 
 struct AvailabilityZone {
   AvailabilityZoneId Name;
@@ -68,7 +68,7 @@
   uint32_t Connections = 1;
   /// Concurrent requests in a cold start if it announces no limit.
   uint32_t ColdLimit = 1;
-  BackendState State = BackendState::In;
+  BackendAdminState State = BackendAdminState::In;
 };
 
 struct Service {
--- a/config/config_parser.cpp
+++ b/config/config_parser.cpp
@@ -203,8 +203,8 @@
       static_cast<uint32_t>(Fields.number("connections", 1, MaxConnections));
   Server.ColdLimit =
       static_cast<uint32_t>(Fields.numberOr("cold_limit", 1, Slots, 1));
-  Server.State = choice(Fields, "in", "draining") ? BackendState::Draining
-                                                  : BackendState::In;
+  Server.State = choice(Fields, "in", "draining") ? BackendAdminState::Draining
+                                                  : BackendAdminState::In;
   keep(Fields);
   return Server;
 }
--- a/config/config_test.cpp
+++ b/config/config_test.cpp
@@ -44,9 +44,9 @@
   EXPECT_EQ(First.Slots, 6u);
   EXPECT_EQ(First.Connections, 45u);
   EXPECT_EQ(First.ColdLimit, 2u);
-  EXPECT_EQ(First.State, BackendState::Draining);
+  EXPECT_EQ(First.State, BackendAdminState::Draining);
   EXPECT_EQ(Storm->BackendServers.at(1).ColdLimit, 1u);
-  EXPECT_EQ(Storm->BackendServers.at(1).State, BackendState::In);
+  EXPECT_EQ(Storm->BackendServers.at(1).State, BackendAdminState::In);
 }
 
 struct ErrorCase {
@@ -120,7 +120,7 @@
       Next.BackendServers.push_back(
           {BackendServerId("x" + std::to_string(Port)),
            "[::1]:" + std::to_string(Port), AvailabilityZoneId("b1"), 1u + Size,
-           3, 1, I % 2 ? BackendState::In : BackendState::Draining});
+           3, 1, I % 2 ? BackendAdminState::In : BackendAdminState::Draining});
     Made.Services.push_back(std::move(Next));
   }
   return Made;
@@ -146,7 +146,7 @@
   New.ConfigRevision = Revision(8);
   New.Regions[0].Zones[0].State = ZoneState::Out;
   New.Services[0].QueueLimit = 30;
-  New.Services[0].BackendServers[0].State = BackendState::In;
+  New.Services[0].BackendServers[0].State = BackendAdminState::In;
   New.Services[0].BackendServers[1].Name = BackendServerId("storm-3");
   const std::vector<std::string> Expected = {
       "backend server storm-2: removed",
--- a/dispatch/actions.h
+++ b/dispatch/actions.h
@@ -92,19 +92,19 @@
   /// Set if Refused.
   RefusalReason Reason = RefusalReason::None;
   Incarnation BackendIncarnation;
-  BackendState State = BackendState::Serving;
+  ReportedState State = ReportedState::Serving;
   /// 0 if the backend server announces none.
   uint32_t Bears = 0;
   std::string Body;
 };
 
 /// The shards that a backend server holds of one snapshot.
-struct HeldSnapshot {
+struct ReportedSnapshot {
   SnapshotId Snapshot;
   uint32_t TotalShards = 0;
   std::vector<ShardId> Shards;
 
-  friend bool operator==(const HeldSnapshot &A, const HeldSnapshot &B) {
+  friend bool operator==(const ReportedSnapshot &A, const ReportedSnapshot &B) {
     return A.Snapshot == B.Snapshot && A.TotalShards == B.TotalShards &&
            A.Shards == B.Shards;
   }
@@ -113,14 +113,14 @@
 /// A backend server's reply to a status poll.
 struct StatusReport {
   Incarnation BackendIncarnation;
-  BackendState State = BackendState::Serving;
+  ReportedState State = ReportedState::Serving;
   /// 0 if the backend server announces none.
   uint32_t Bears = 0;
   /// 0 if not reported; lowers the configured number.
   uint32_t Slots = 0;
   /// 0 if not reported; lowers the configured number.
   uint32_t Connections = 0;
-  std::vector<HeldSnapshot> Snapshots;
+  std::vector<ReportedSnapshot> Snapshots;
 };
 
 } // namespace mimosa
--- a/dispatch/backend_gate.cpp
+++ b/dispatch/backend_gate.cpp
@@ -64,7 +64,7 @@
     return RefusalReason::NotOwner;
   if (Settings.ZoneOut)
     return RefusalReason::ZoneOut;
-  if (Settings.Draining || State == BackendState::Draining)
+  if (Settings.Draining || State == ReportedState::Draining)
     return RefusalReason::Draining;
   if (!Reachable)
     return RefusalReason::Unreachable;
--- a/dispatch/backend_gate.h
+++ b/dispatch/backend_gate.h
@@ -55,13 +55,13 @@
 struct GateSummary {
   BackendServerId Backend;
   Incarnation BackendIncarnation;
-  BackendState State = BackendState::Serving;
+  ReportedState State = ReportedState::Serving;
   /// False while no status reply has arrived since the last reset.
   bool Known = false;
   bool Reachable = true;
   uint32_t Limit = 0;
   uint32_t QueueLength = 0;
-  std::vector<HeldSnapshot> Snapshots;
+  std::vector<ReportedSnapshot> Snapshots;
 };
 
 /// Totals since the gate was made.
@@ -180,7 +180,7 @@
                        DispatchActions &Out);
   void endPreviousProcess(MonotonicTime Now, DispatchActions &Out);
   void takeSizes(const StatusReport &Report);
-  void stateSaid(BackendState NewState, DispatchActions &Out);
+  void stateSaid(ReportedState NewState, DispatchActions &Out);
   void noteSummary(DispatchActions &Out);
 
   GateId Id;
@@ -200,8 +200,8 @@
   std::vector<std::pair<WorkIndex, DispatchId>> CancelsDue;
 
   Incarnation BackendIncarnation;
-  BackendState State = BackendState::Serving;
-  std::vector<HeldSnapshot> Snapshots;
+  ReportedState State = ReportedState::Serving;
+  std::vector<ReportedSnapshot> Snapshots;
   Duration ServiceP99{};
   MonotonicTime StatusDue;
   /// Polls sent before this time do not tell the incarnation any more.
@@ -218,7 +218,7 @@
     bool Known = false;
     bool Reachable = true;
     uint32_t Limit = 0;
-    BackendState State = BackendState::Serving;
+    ReportedState State = ReportedState::Serving;
     Incarnation BackendIncarnation;
   };
   Published Last;
--- a/dispatch/backend_gate_connections.cpp
+++ b/dispatch/backend_gate_connections.cpp
@@ -28,7 +28,7 @@
   if (Stopping)
     return 0;
   bool OnlyStatus = Settings.ZoneOut || Settings.Draining || !Reachable ||
-                    State == BackendState::Draining;
+                    State == ReportedState::Draining;
   return OnlyStatus ? 1 : std::min(Cap, Slots + SpareConnections);
 }
 
@@ -252,9 +252,9 @@
   Limit.configure(Slots, Settings.ColdLimit);
 }
 
-void BackendGate::stateSaid(BackendState NewState, DispatchActions &Out) {
+void BackendGate::stateSaid(ReportedState NewState, DispatchActions &Out) {
   State = NewState;
-  if (State == BackendState::Draining)
+  if (State == ReportedState::Draining)
     refuseAllQueued(RefusalReason::Draining, Out);
 }
 
--- a/dispatch/backend_gate_test.cpp
+++ b/dispatch/backend_gate_test.cpp
@@ -151,10 +151,10 @@
     });
   }
   Duration latency() { return Duration(100 + Rand.below(400)); }
-  BackendState state() const {
+  ReportedState state() const {
     if (Drains)
-      return BackendState::Draining;
-    return SaysCold ? BackendState::Cold : BackendState::Serving;
+      return ReportedState::Draining;
+    return SaysCold ? ReportedState::Cold : ReportedState::Serving;
   }
   uint32_t announced() const {
     return IsCold && !SaysCold ? Settings.Slots : Bears;
--- a/dispatch/slot_limit.cpp
+++ b/dispatch/slot_limit.cpp
@@ -36,7 +36,7 @@
 }
 
 uint32_t SlotLimit::ceiling() const {
-  if (State != BackendState::Cold || Bears == 0)
+  if (State != ReportedState::Cold || Bears == 0)
     return Slots;
   return std::clamp(Bears, 1U, Slots);
 }
@@ -56,7 +56,7 @@
 
 void SlotLimit::forget(MonotonicTime Now) {
   Known = false;
-  State = BackendState::Serving;
+  State = ReportedState::Serving;
   Bears = 0;
   fallTo(ColdLimit, Now);
 }
@@ -65,7 +65,7 @@
   fallTo(std::min({ColdLimit, Limit, ceiling()}), Now);
 }
 
-void SlotLimit::statusSaid(BackendState NewState, uint32_t NewBears,
+void SlotLimit::statusSaid(ReportedState NewState, uint32_t NewBears,
                            MonotonicTime Now) {
   if (!Known) {
     Known = true;
@@ -77,16 +77,16 @@
   takeAnnouncement(NewState, NewBears, Now);
 }
 
-void SlotLimit::replySaid(BackendState NewState, uint32_t NewBears,
+void SlotLimit::replySaid(ReportedState NewState, uint32_t NewBears,
                           MonotonicTime Now) {
   if (Known)
     takeAnnouncement(NewState, NewBears, Now);
 }
 
-void SlotLimit::takeAnnouncement(BackendState NewState, uint32_t NewBears,
+void SlotLimit::takeAnnouncement(ReportedState NewState, uint32_t NewBears,
                                  MonotonicTime Now) {
   bool TurnsCold =
-      NewState == BackendState::Cold && State != BackendState::Cold;
+      NewState == ReportedState::Cold && State != ReportedState::Cold;
   State = NewState;
   Bears = NewBears;
   if (TurnsCold)
--- a/dispatch/slot_limit.h
+++ b/dispatch/slot_limit.h
@@ -28,9 +28,9 @@
   /// Falls to the cold limit; the incarnation stays known.
   void startCold(MonotonicTime Now);
   /// Takes a status reply; \p Bears is 0 if none is announced.
-  void statusSaid(BackendState State, uint32_t Bears, MonotonicTime Now);
+  void statusSaid(ReportedState State, uint32_t Bears, MonotonicTime Now);
   /// Takes what a reply to a search says; does not end forget().
-  void replySaid(BackendState State, uint32_t Bears, MonotonicTime Now);
+  void replySaid(ReportedState State, uint32_t Bears, MonotonicTime Now);
 
   /// A search was answered after \p Latency.
   void answered(Duration Latency, MonotonicTime Now);
@@ -55,7 +55,7 @@
   uint32_t ceiling() const;
   void fallTo(uint32_t NewLimit, MonotonicTime Now);
   void restartInterval(MonotonicTime Now);
-  void takeAnnouncement(BackendState State, uint32_t Bears, MonotonicTime Now);
+  void takeAnnouncement(ReportedState State, uint32_t Bears, MonotonicTime Now);
   void checkBehaviour(MonotonicTime Now);
   bool isFull() const { return InHand >= Limit; }
 
@@ -63,7 +63,7 @@
   uint32_t ColdLimit;
   uint32_t Limit;
   bool Known = false;
-  BackendState State = BackendState::Serving;
+  ReportedState State = ReportedState::Serving;
   uint32_t Bears = 0;
 
   uint32_t InHand = 0;
--- a/dispatch/sub_request.h
+++ b/dispatch/sub_request.h
@@ -101,7 +101,7 @@
 };
 
 /// What a backend server says about itself.
-enum class BackendState : uint8_t { Serving, Cold, Draining };
+enum class ReportedState : uint8_t { Serving, Cold, Draining };
 
 /// The result code that callers see for \p Reason.
 ResultCode refusalCode(RefusalReason Reason);
