Serve a query from end to end on one host

Cause: every later change is to be measured against a running system. Change: mimosad with the callers' interface, the query runner, the links to backend servers and the key-value client; the configuration arrives by a watch.

--- /dev/null
+++ b/daemon/backend_links.cpp
@@ -0,0 +1,192 @@
+#include "daemon/backend_links.h"
+
+#include "daemon/backend_messages.h"
+
+#include <optional>
+
+namespace mimosa {
+
+namespace {
+
+constexpr Duration ConnectTimeout = Milliseconds(500);
+// The gate closes connections that are silent or overdue; this only ends an
+// exchange that it has lost sight of.
+constexpr Duration ExchangeTimeout = Seconds(30);
+
+} // namespace
+
+struct BackendLinks::Link {
+  enum class Kind { Search, Cancel, Status };
+  struct Exchange {
+    Kind Type = Kind::Status;
+    HttpRequest Request;
+  };
+
+  GateId Gate;
+  ConnectionId Connection;
+  std::string Address;
+  std::unique_ptr<HttpConnection> Http;
+  std::optional<Exchange> Next;
+  FiberEvent Wake;
+  bool Closed = false;
+
+  void begin(Kind Type, HttpRequest Request) {
+    Next = Exchange{Type, std::move(Request)};
+    Wake.set();
+  }
+};
+
+BackendLinks::BackendLinks(FiberLoop &Loop, Dispatcher &Dispatch,
+                           std::string HostName, ReplyCallback OnReply,
+                           SummaryCallback OnSummary)
+    : Loop(Loop), Dispatch(Dispatch), HostName(std::move(HostName)),
+      OnReply(std::move(OnReply)), OnSummary(std::move(OnSummary)) {}
+
+BackendLinks::~BackendLinks() = default;
+
+void BackendLinks::setAddresses(
+    std::unordered_map<BackendServerId, std::string> ByName) {
+  Addresses = std::move(ByName);
+}
+
+void BackendLinks::carryOut(DispatchActions &Actions) {
+  // Carrying out one action may append others, so the list is walked by index.
+  for (size_t I = 0; I < Actions.size(); ++I) {
+    DispatchAction Action = std::move(Actions[I]);
+    std::visit([this](auto &One) { carryOut(One); }, Action);
+  }
+  Actions.clear();
+}
+
+BackendLinks::Link *BackendLinks::find(GateId Gate, ConnectionId Connection) {
+  auto It = Links.find({Gate.number(), Connection.number()});
+  return It == Links.end() ? nullptr : It->second.get();
+}
+
+std::string BackendLinks::requestId(GateId Gate, DispatchId Id) const {
+  return HostName + "/" + std::to_string(Gate.number()) + "/" +
+         std::to_string(Id.number());
+}
+
+void BackendLinks::carryOut(OpenConnection &Action) {
+  auto L = std::make_shared<Link>();
+  L->Gate = Action.Gate;
+  L->Connection = Action.Connection;
+  if (const BackendGate *Gate = Dispatch.gate(Action.Gate)) {
+    auto It = Addresses.find(Gate->settings().Backend);
+    if (It != Addresses.end())
+      L->Address = It->second;
+  }
+  Links[{Action.Gate.number(), Action.Connection.number()}] = L;
+  Loop.spawn([this, L] { runLink(L); });
+}
+
+void BackendLinks::carryOut(CloseConnection &Action) {
+  Link *L = find(Action.Gate, Action.Connection);
+  if (!L)
+    return;
+  L->Closed = true;
+  if (L->Http)
+    L->Http->close();
+  L->Wake.set();
+  Links.erase({Action.Gate.number(), Action.Connection.number()});
+}
+
+void BackendLinks::carryOut(SendSearch &Action) {
+  if (Link *L = find(Action.Gate, Action.Connection))
+    L->begin(Link::Kind::Search,
+             {"POST", "/search",
+              searchBody(Action, requestId(Action.Gate, Action.Id))});
+}
+
+void BackendLinks::carryOut(SendCancel &Action) {
+  if (Link *L = find(Action.Gate, Action.Connection))
+    L->begin(
+        Link::Kind::Cancel,
+        {"POST", "/cancel",
+         "{\"request_id\":\"" + requestId(Action.Gate, Action.Id) + "\"}"});
+}
+
+void BackendLinks::carryOut(PollStatus &Action) {
+  if (Link *L = find(Action.Gate, Action.Connection))
+    L->begin(Link::Kind::Status, {"GET", "/status", ""});
+}
+
+void BackendLinks::carryOut(Reply &Action) { OnReply(std::move(Action)); }
+
+void BackendLinks::carryOut(SummaryChanged &Action) { OnSummary(Action.Gate); }
+
+template <typename Event>
+void BackendLinks::report(const Link &L, Event &&Tell) {
+  BackendGate *Gate = Dispatch.gate(L.Gate);
+  if (!Gate)
+    return;
+  DispatchActions Actions;
+  Tell(*Gate, Loop.now(), Actions);
+  carryOut(Actions);
+}
+
+void BackendLinks::reportLost(Link &L) {
+  if (L.Closed)
+    return;
+  Links.erase({L.Gate.number(), L.Connection.number()});
+  report(L, [&](BackendGate &Gate, MonotonicTime Now, DispatchActions &Out) {
+    Gate.connectionLost(L.Connection, Now, Out);
+  });
+}
+
+void BackendLinks::runLink(const std::shared_ptr<Link> &L) {
+  auto Opened = HttpConnection::open(Loop, L->Address, ConnectTimeout);
+  if (!ok(Opened)) {
+    reportLost(*L);
+    return;
+  }
+  L->Http = valueOf(std::move(Opened));
+  if (L->Closed)
+    return;
+  report(*L, [&](BackendGate &Gate, MonotonicTime Now, DispatchActions &Out) {
+    Gate.connectionOpened(L->Connection, Now, Out);
+  });
+  while (!L->Closed) {
+    L->Wake.wait();
+    L->Wake.clear();
+    if (L->Closed || !L->Next)
+      continue;
+    if (!exchangeNext(*L)) {
+      reportLost(*L);
+      return;
+    }
+  }
+}
+
+bool BackendLinks::exchangeNext(Link &L) {
+  Link::Exchange Now = std::move(*L.Next);
+  L.Next.reset();
+  Result<HttpResponse> Answer = L.Http->exchange(Now.Request, ExchangeTimeout);
+  if (L.Closed)
+    return true;
+  if (!ok(Answer))
+    return false;
+  const HttpResponse &Response = valueOf(Answer);
+  if (Now.Type == Link::Kind::Search) {
+    report(L, [&](BackendGate &Gate, MonotonicTime At, DispatchActions &Out) {
+      Gate.searchReplied(L.Connection,
+                         parseSearchReply(Response.Status, Response.Body), At,
+                         Out);
+    });
+  } else if (Now.Type == Link::Kind::Cancel) {
+    report(L, [&](BackendGate &Gate, MonotonicTime At, DispatchActions &Out) {
+      Gate.cancelReplied(L.Connection, At, Out);
+    });
+  } else {
+    Result<StatusReport> Report = parseStatusReport(Response.Body);
+    if (!ok(Report))
+      return false;
+    report(L, [&](BackendGate &Gate, MonotonicTime At, DispatchActions &Out) {
+      Gate.statusReplied(L.Connection, valueOf(std::move(Report)), At, Out);
+    });
+  }
+  return L.Http->isOpen();
+}
+
+} // namespace mimosa
--- /dev/null
+++ b/daemon/backend_messages.h
@@ -0,0 +1,29 @@
+// The backend servers' protocol (docs/design.md, 5.3) as typed messages.
+
+#ifndef MIMOSA_DAEMON_BACKEND_MESSAGES_H
+#define MIMOSA_DAEMON_BACKEND_MESSAGES_H
+
+#include "base/message_codec.h"
+#include "dispatch/actions.h"
+#include "query/session.h"
+
+#include <string>
+
+namespace mimosa {
+
+/// Body of POST /search for \p Send.
+std::string searchBody(const SendSearch &Send, const std::string &RequestId);
+
+/// Reads a reply to /search with HTTP status \p Status. The hits of an answer
+/// are repacked for the root; see unpackSubAnswer().
+SearchReply parseSearchReply(int Status, const std::string &Body);
+
+/// Reads a reply to /status; fails with BadBackendReply.
+Result<StatusReport> parseStatusReport(const std::string &Body);
+
+/// The answer in the body of a SearchReply; fails with BadFrame.
+Result<SubAnswer> unpackSubAnswer(const std::string &Body);
+
+} // namespace mimosa
+
+#endif // MIMOSA_DAEMON_BACKEND_MESSAGES_H
--- /dev/null
+++ b/daemon/module.cmake
@@ -0,0 +1,4 @@
+mimosa_module(daemon mimosa_runtime mimosa_config mimosa_platform
+              mimosa_backend mimosa_dispatch mimosa_query)
+add_executable(mimosad daemon/mimosad_main.cpp)
+target_link_libraries(mimosad PRIVATE mimosa_daemon)
--- /dev/null
+++ b/daemon/query_runner.h
@@ -0,0 +1,74 @@
+// Runs queries as their root: one QuerySession each, whose sub-requests go to
+// the owners of backend servers, here or on other hosts.
+//
+//   QueryRunner Runner(Context);
+//   QueryAnswer Answer = Runner.run(Request, Service, Caller);  // suspends
+//   Runner.onReply(RequestId, ...);                             // from owners
+
+#ifndef MIMOSA_DAEMON_QUERY_RUNNER_H
+#define MIMOSA_DAEMON_QUERY_RUNNER_H
+
+#include "daemon/node_context.h"
+#include "daemon/service_node.h"
+#include "dispatch/messages.h"
+#include "query/session.h"
+#include "runtime/http.h"
+
+#include <memory>
+#include <unordered_map>
+
+namespace mimosa {
+
+class QueryRunner {
+public:
+  explicit QueryRunner(NodeContext &Context);
+  ~QueryRunner();
+
+  /// Runs one query and returns its answer; suspends the fiber.
+  QueryAnswer run(const QueryRequest &Request, ServiceNode &Node,
+                  const QuerySessionOptions &Options,
+                  const std::shared_ptr<CallerSignals> &Caller);
+
+  /// A sub-request that this host sent as root has ended.
+  void onReply(DispatchReply Message);
+  /// The same from the dispatcher of this host.
+  void onLocalReply(Reply Message);
+  /// The connection to \p Owner was lost.
+  void onOwnerLost(const HostId &Owner, PeerClient::Loss How);
+
+  size_t running() const { return Running; }
+  const QueryCounters &counters() const { return Total; }
+
+private:
+  struct ActiveQuery;
+  struct Outstanding {
+    std::shared_ptr<ActiveQuery> Query;
+    SubRequestNumber Number;
+    BackendServerId Backend;
+    HostId Owner;
+  };
+
+  void settle(const std::shared_ptr<ActiveQuery> &Query);
+  void carryOut(const std::shared_ptr<ActiveQuery> &Query,
+                QueryActions &Actions);
+  void send(const std::shared_ptr<ActiveQuery> &Query,
+            std::vector<SubRequestSend> &Sends);
+  void sendRemote(ActiveQuery &Query, const HostId &Owner,
+                  std::vector<DispatchItem> Items, const SnapshotId &Snapshot);
+  void sendLocal(ActiveQuery &Query, std::vector<DispatchItem> Items,
+                 const SnapshotId &Snapshot);
+  void cancel(ActiveQuery &Query, SubRequestNumber Number);
+
+  NodeContext &Context;
+  std::unordered_map<uint64_t, Outstanding> BySubRequest;
+  uint64_t LastSubRequest = 0;
+  size_t Running = 0;
+  QueryCounters Total;
+};
+
+/// The outcome that \p Reason stands for in a session.
+Refusal refusalOf(RefusalReason Reason);
+
+} // namespace mimosa
+
+#endif // MIMOSA_DAEMON_QUERY_RUNNER_H
--- a/runtime/peer.h
+++ b/runtime/peer.h
@@ -125,6 +125,16 @@
   Result<PeerFrame> call(const HostId &To, MessageType Type, std::string Body,
                          Duration Limit);
 
+  /// How a connection to a peer ended.
+  enum class Loss {
+    /// It could not be opened: what was waiting for it was not sent.
+    NotSent,
+    /// It was open: what was sent may or may not have arrived.
+    Broken,
+  };
+  /// Sets the callback for lost connections; it must not suspend.
+  void onLoss(std::function<void(const HostId &, Loss)> Callback);
+
   /// Drops the connection to \p To, for example when the host is dead.
   void disconnect(const HostId &To);
 
--- a/runtime/peer_client.cpp
+++ b/runtime/peer_client.cpp
@@ -41,6 +41,7 @@
   std::priority_queue<Expiry, std::vector<Expiry>, std::greater<>> Expiries;
   uint64_t LastRequestId = 0;
   Subscription Sweeps;
+  std::function<void(const HostId &, Loss)> LossCallback;
 };
 
 void PeerClient::Impl::start() {
@@ -78,6 +79,8 @@
   P.Queued.clear();
   if (!ok(Connected)) {
     failAll(To, errorOf(Connected));
+    if (LossCallback)
+      LossCallback(To, Loss::NotSent);
     return;
   }
   P.Stream = Stream;
@@ -98,6 +101,8 @@
   It->second.Stream.reset();
   failAll(To, Error{ResultCode::PeerUnreachable,
                     "the connection to " + To.text() + " was lost"});
+  if (LossCallback)
+    LossCallback(To, Loss::Broken);
 }
 
 void PeerClient::Impl::finish(uint64_t RequestId, Result<PeerFrame> Outcome) {
@@ -164,6 +169,10 @@
   return std::move(State->Outcome);
 }
 
+void PeerClient::onLoss(std::function<void(const HostId &, Loss)> Callback) {
+  State->LossCallback = std::move(Callback);
+}
+
 void PeerClient::disconnect(const HostId &To) {
   auto It = State->Peers.find(To);
   if (It != State->Peers.end() && It->second.Stream)
