--- a/tools/backend_stand_in.cpp
+++ b/tools/backend_stand_in.cpp
@@ -133,12 +133,13 @@
   Job.Id = Fields.text("request_id");
   Job.Snapshot = Fields.text("snapshot");
   Job.Idempotent = Fields.flagOr("idempotent", true);
-  Job.Key = Fields.textOr("request_key", "");
   Job.Deadline =
       Loop.now() + Milliseconds(Fields.number("deadline_ms", 0, 1000000));
   for (const Json &Shard : Fields.array("shards"))
     Job.Shards.push_back(Shard.get<uint32_t>());
-  Job.Text = JsonFields(Fields.object("query"), "query").textOr("text", "");
+  JsonFields QueryFields(Fields.object("query"), "query");
+  Job.Text = QueryFields.textOr("text", "");
+  Job.Key = QueryFields.textOr("key", "");
   if (Fields.failed())
     return jsonAnswer(400, {{"error", Fields.error().Message}});
   if (Fault.State == "draining") {
