--- /dev/null
+++ b/membership/module.cmake
@@ -0,0 +1,1 @@
+mimosa_module(membership mimosa_base)
