--- /dev/null
+++ b/query/fake_replica_source.h
@@ -0,0 +1,82 @@
+// A hand-written ReplicaSource for tests: fixed replicas, a fixed hedge delay
+// of 10 ms and a countable extra-load budget.
+
+#ifndef MIMOSA_QUERY_FAKE_REPLICA_SOURCE_H
+#define MIMOSA_QUERY_FAKE_REPLICA_SOURCE_H
+
+#include "backend/replica_source.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+namespace mimosa {
+
+/// Replicas and budget as a test sets them, and what a session did with them.
+class FakeReplicaSource : public ReplicaSource {
+public:
+  /// Adds snapshot \p Name; the first added one is the newest. Replica R of
+  /// shard S is backend server "b<S>.<R>".
+  void addSnapshot(const std::string &Name, uint32_t Shards,
+                   uint32_t ReplicasPerShard) {
+    Choices.push_back({SnapshotId(Name), Shards});
+    auto &Lists = Replicas[Name];
+    Lists.resize(Shards);
+    for (uint32_t S = 0; S < Shards; ++S)
+      for (uint32_t R = 0; R < ReplicasPerShard; ++R)
+        Lists[S].emplace_back("b" + std::to_string(S) + "." +
+                              std::to_string(R));
+  }
+
+  std::optional<SnapshotChoice>
+  chooseSnapshot(const std::vector<SnapshotId> &Excluded,
+                 MonotonicTime) const override {
+    for (const SnapshotChoice &C : Choices)
+      if (std::find(Excluded.begin(), Excluded.end(), C.Snapshot) ==
+          Excluded.end())
+        return C;
+    return std::nullopt;
+  }
+  const std::vector<BackendServerId> &replicas(const SnapshotId &Snapshot,
+                                               ShardId Shard) const override {
+    return Replicas.at(Snapshot.text()).at(Shard.number());
+  }
+  Duration expectedLatency(const BackendServerId &Backend,
+                           MonotonicTime) const override {
+    auto It = Latency.find(Backend);
+    return It == Latency.end() ? Duration(Milliseconds(5)) : It->second;
+  }
+  std::optional<HostId> owner(const BackendServerId &) const override {
+    return HostId("owner");
+  }
+  Duration hedgeDelay(MonotonicTime) const override { return Milliseconds(10); }
+  bool takeExtra(ExtraLoad, MonotonicTime) override {
+    if (Extra == 0)
+      return false;
+    --Extra;
+    ++Taken;
+    return true;
+  }
+  void sent(const BackendServerId &Backend, MonotonicTime) override {
+    ++Sent[Backend];
+    ++InFlight;
+  }
+  void ended(const BackendServerId &Backend, std::optional<Duration> Time,
+             MonotonicTime) override {
+    Ended[Backend] = Time;
+    --InFlight;
+  }
+
+  std::vector<SnapshotChoice> Choices;
+  std::map<std::string, std::vector<std::vector<BackendServerId>>> Replicas;
+  std::map<BackendServerId, Duration> Latency;
+  uint64_t Extra = 1000;
+  uint64_t Taken = 0;
+  int64_t InFlight = 0;
+  std::map<BackendServerId, int> Sent;
+  std::map<BackendServerId, std::optional<Duration>> Ended;
+};
+
+} // namespace mimosa
+
+#endif // MIMOSA_QUERY_FAKE_REPLICA_SOURCE_H
--- a/query/module.cmake
+++ b/query/module.cmake
@@ -1,1 +1,3 @@
 mimosa_module(query mimosa_backend)
+add_executable(query_benchmark query/query_benchmark_main.cpp)
+target_link_libraries(query_benchmark PRIVATE mimosa_query)
