--- /dev/null
+++ b/admission/module.cmake
@@ -0,0 +1,1 @@
+mimosa_module(admission mimosa_base)
