Add the quarantine and the abandonment counter

Cause: a request that crashes backend servers must not crash more than two, and callers who gave up are counted once each (docs/design.md, 4.10, 4.12).

--- /dev/null
+++ b/abandonment/module.cmake
@@ -0,0 +1,1 @@
+mimosa_module(abandonment mimosa_base)
--- /dev/null
+++ b/quarantine/module.cmake
@@ -0,0 +1,1 @@
+mimosa_module(quarantine mimosa_base)
