--- a/query/request_test.cpp
+++ b/query/request_test.cpp
@@ -129,14 +129,16 @@
   const uint32_t Total = 4;
   const auto Limit = *rc::gen::inRange<uint32_t>(1, 80);
   std::vector<Hit> All;
-  All.reserve(Found.size());
-  for (const auto &[Shard, Score] : Found)
-    All.push_back({ShardId(Shard % Total), std::to_string(All.size()),
-                   static_cast<double>(Score % 8)});
+  All.reserve(4 * Found.size());
+  for (int Copy = 0; Copy < 4; ++Copy)
+    for (const auto &[Shard, Score] : Found)
+      All.push_back({ShardId((Shard + Copy) % Total),
+                     std::to_string(All.size()),
+                     static_cast<double>(Score % 8)});
   Merger Merged(Limit);
   Merged.start(Total);
   for (uint32_t Reply = 0; Reply < 2 * Total; ++Reply) {
-    ShardId Shard(Reply % Total);
+    ShardId Shard((2 * Total - 1 - Reply) % Total);
     RC_ASSERT(Merged.answer(Shard, Reply) == (Reply < Total));
     std::vector<Hit> Part;
     std::copy_if(All.begin(), All.end(), std::back_inserter(Part),
