Join membership, placement, ownership and dispatch in the daemon

Cause: one host served queries alone; the limits of backend servers have to hold over all hosts. Change: Node joins the drivers; owners report to the host set; queries go to the owners of backend servers; addresses, configuration, hosts and status over HTTP; a query at a host outside the set is forwarded once; graceful shutdown.

--- a/daemon/caller_api.h
+++ b/daemon/caller_api.h
@@ -1,18 +1,21 @@
-// The HTTP interface of mimosad for callers and operators; see docs/design.md,
-// 5.1 and 5.2.
+// The HTTP interface of mimosad for callers; see docs/design.md, 5.1. Requests
+// of operators go to OperatorApi.
 
 #ifndef MIMOSA_DAEMON_CALLER_API_H
 #define MIMOSA_DAEMON_CALLER_API_H
 
+#include "daemon/operator_api.h"
+#include "query/request.h"
 #include "runtime/http.h"
 
 namespace mimosa {
 
 class Node;
+class ServiceNode;
 
 class CallerApi : public HttpHandler {
 public:
-  explicit CallerApi(Node &Host) : Host(Host) {}
+  explicit CallerApi(Node &Host) : Host(Host), Operators(Host) {}
 
   HttpResponse handle(const HttpRequest &Request,
                       const std::shared_ptr<CallerSignals> &Caller) override;
@@ -20,13 +23,16 @@
 private:
   HttpResponse query(const HttpRequest &Request,
                      const std::shared_ptr<CallerSignals> &Caller);
+  HttpResponse queryElsewhere(const HttpRequest &Request,
+                              const QueryRequest &Parsed, ServiceNode &Node,
+                              const std::shared_ptr<CallerSignals> &Caller);
+  HttpResponse addresses(const HttpRequest &Request);
+  std::vector<std::string> addressesOf(const ServiceNode &Node);
 
   Node &Host;
+  OperatorApi Operators;
 };
 
-/// The HTTP status that goes with \p Code.
-int httpStatusOf(ResultCode Code);
-
 } // namespace mimosa
 
 #endif // MIMOSA_DAEMON_CALLER_API_H
--- /dev/null
+++ b/daemon/config_driver.cpp
@@ -0,0 +1,174 @@
+#include "daemon/config_driver.h"
+
+#include "config/messages.h"
+#include "runtime/await_callback.h"
+#include "runtime/log.h"
+
+namespace mimosa {
+
+namespace {
+
+constexpr Duration WatchTime = Seconds(30);
+constexpr Duration WatchRetryDelay = Milliseconds(500);
+/// How often a host that holds no watch checks whether it has to.
+constexpr Duration WatcherCheckDelay = Milliseconds(500);
+constexpr Duration TickTime = Milliseconds(100);
+/// The holder ends a pull earlier; this frees the pending request.
+constexpr Duration PullLimit = Milliseconds(3000);
+
+std::optional<StoredConfig> asStored(const StoredValue &Value) {
+  if (Value.Version == StoreVersion())
+    return std::nullopt;
+  return StoredConfig{Value.Value, Value.Version.number()};
+}
+
+} // namespace
+
+ConfigDriver::ConfigDriver(NodeContext &Context, KeyValueStore &Store,
+                           std::function<void()> OnChange)
+    : Context(Context), Store(Store), OnChange(std::move(OnChange)),
+      Holder(Context.Self.Host, Context.Self.Zone) {}
+
+void ConfigDriver::start() {
+  Context.Loop.spawn([this] { watchLoop(); });
+  Ticks = Context.Loop.every(
+      TickTime, [this] { pull(Holder.onTick(Context.Loop.now())); });
+}
+
+void ConfigDriver::watchLoop() {
+  while (!Context.Loop.stopping()) {
+    if (!Holder.isWatcher()) {
+      FiberLoop::sleepFor(WatcherCheckDelay);
+      continue;
+    }
+    using Watched = Result<std::optional<StoredValue>>;
+    Watched Reply = awaitCallback<Watched>([&](auto Finish) {
+      Store.watch(ConfigStoreKey, SeenVersion, WatchTime, Finish);
+    });
+    if (!ok(Reply)) {
+      FiberLoop::sleepFor(WatchRetryDelay);
+      continue;
+    }
+    if (!valueOf(Reply))
+      continue;
+    SeenVersion = valueOf(Reply)->Version;
+    adopt(valueOf(Reply)->Value, ConfigSource::Watch);
+  }
+}
+
+bool ConfigDriver::adopt(const std::string &Text, ConfigSource Source) {
+  Result<Config> Parsed = parseConfig(Text);
+  if (!ok(Parsed)) {
+    logWarn("config", "a document was refused: " + errorOf(Parsed).Message);
+    return false;
+  }
+  return offer(valueOf(std::move(Parsed)), Source);
+}
+
+bool ConfigDriver::offer(Config Document, ConfigSource Source) {
+  if (!Holder.offer(std::move(Document), Source))
+    return false;
+  logInfo("config", "revision " + std::to_string(Holder.revision().number()) +
+                        " is in force");
+  OnChange();
+  return true;
+}
+
+void ConfigDriver::announced(const HostId &Peer, Revision Announced) {
+  pull(Holder.onAnnouncement(Peer, Announced, Context.Loop.now()));
+}
+
+void ConfigDriver::setZoneHosts(const std::vector<HostId> &LiveHosts) {
+  Holder.setZoneHosts(LiveHosts);
+}
+
+std::string ConfigDriver::pullReply(const PeerFrame &Frame) const {
+  Result<ConfigPull> Asked = unpackBody<ConfigPull>(Frame.Body);
+  ConfigDocument Reply;
+  Reply.Sender = Context.Self.Host;
+  Reply.ConfigRevision = Holder.revision();
+  if (ok(Asked) && valueOf(Asked).ConfigRevision < Holder.revision())
+    Reply.Document = printConfig(*Holder.config());
+  return packBody(Reply);
+}
+
+void ConfigDriver::pull(const std::optional<PullConfig> &Pull) {
+  if (!Pull)
+    return;
+  ConfigPull Message{Context.Self.Host, Holder.revision()};
+  HostId Peer = Pull->Peer;
+  Context.Peers.request(
+      Peer, MessageType::ConfigPull, packBody(Message), PullLimit,
+      [this, Peer](const auto &Reply) { pulled(Peer, Reply); });
+}
+
+std::optional<Config>
+ConfigDriver::documentIn(const Result<PeerFrame> &Reply) const {
+  if (!ok(Reply))
+    return std::nullopt;
+  Result<ConfigDocument> Message =
+      unpackBody<ConfigDocument>(valueOf(Reply).Body);
+  if (!ok(Message) || valueOf(Message).Document.empty())
+    return std::nullopt;
+  Result<Config> Parsed = parseConfig(valueOf(Message).Document);
+  if (!ok(Parsed))
+    return std::nullopt;
+  return valueOf(std::move(Parsed));
+}
+
+void ConfigDriver::pulled(const HostId &Peer, const Result<PeerFrame> &Reply) {
+  Revision Before = Holder.revision();
+  std::optional<Config> Document = documentIn(Reply);
+  pull(Holder.onPullReply(Peer, std::move(Document), Context.Loop.now()));
+  if (Holder.revision() == Before)
+    return;
+  logInfo("config", "revision " + std::to_string(Holder.revision().number()) +
+                        " is in force");
+  OnChange();
+}
+
+WriteStep ConfigDriver::readStored(ConfigWriter &Writer,
+                                   const ReadStored &Step) {
+  if (Step.Delay > Duration(0))
+    FiberLoop::sleepFor(Step.Delay);
+  auto Read = awaitCallback<Result<StoredValue>>(
+      [&](auto Finish) { Store.read(ConfigStoreKey, Finish); });
+  if (ok(Read))
+    return Writer.onRead(asStored(valueOf(Read)));
+  if (errorOf(Read).Code == ResultCode::NotFound)
+    return Writer.onRead(std::nullopt);
+  return Writer.onReadFailed();
+}
+
+WriteStep ConfigDriver::writeStored(ConfigWriter &Writer,
+                                    const WriteStored &Step) {
+  auto Written = awaitCallback<Result<SwapReply>>([&](auto Finish) {
+    Store.compareAndSwap(ConfigStoreKey, Step.Value,
+                         StoreVersion(Step.ExpectedVersion), Finish);
+  });
+  if (!ok(Written))
+    return errorOf(Written).Code == ResultCode::StoreUnavailable
+               ? Writer.onWriteRefused()
+               : Writer.onWriteReplyLost();
+  if (valueOf(Written).Swapped)
+    return Writer.onWritten();
+  return Writer.onVersionConflict(asStored(valueOf(Written).Current));
+}
+
+WriteFinished ConfigDriver::change(ConfigChange Change) {
+  ConfigWriter Writer(std::move(Change));
+  WriteStep Step = Writer.start();
+  while (true) {
+    if (auto *Finished = std::get_if<WriteFinished>(&Step)) {
+      if (Finished->Code == ResultCode::Ok && Finished->Stored)
+        offer(*Finished->Stored, ConfigSource::Store);
+      return std::move(*Finished);
+    }
+    if (const auto *Read = std::get_if<ReadStored>(&Step))
+      Step = readStored(Writer, *Read);
+    else
+      Step = writeStored(Writer, std::get<WriteStored>(Step));
+  }
+}
+
+} // namespace mimosa
--- /dev/null
+++ b/daemon/membership_driver.h
@@ -0,0 +1,51 @@
+// Runs Membership over the timer service and the peer connections.
+//
+//   MembershipDriver Members(Context, Events);
+//   Members.start(Seeds);
+//   Members.handleFrame(Frame);        // types 1 to 6
+
+#ifndef MIMOSA_DAEMON_MEMBERSHIP_DRIVER_H
+#define MIMOSA_DAEMON_MEMBERSHIP_DRIVER_H
+
+#include "daemon/node_context.h"
+#include "membership/membership.h"
+
+namespace mimosa {
+
+/// What other parts are told; called in the event loop, must not suspend.
+class MembershipEvents {
+public:
+  virtual ~MembershipEvents() = default;
+  virtual void memberChanged(const MemberChanged &Change) = 0;
+  virtual void pauseDetected(Duration Gap) = 0;
+  virtual void revisionAnnounced(const HostId &Peer, Revision Announced) = 0;
+};
+
+class MembershipDriver {
+public:
+  MembershipDriver(NodeContext &Context, MembershipEvents &Events);
+
+  void start(std::vector<HostId> Seeds);
+  /// Replaces the seeds, after a new list of the platform.
+  void setSeeds(std::vector<HostId> Seeds);
+  /// False if the frame is not one of membership's.
+  bool handleFrame(const PeerFrame &Frame);
+  void hostUnreachable(const HostId &Host);
+  void leave();
+
+  Membership &members() { return Protocol; }
+
+private:
+  template <typename T> bool take(const PeerFrame &Frame);
+  void perform(const MembershipActions &Actions);
+  void send(const SendMessage &Action);
+
+  NodeContext &Context;
+  MembershipEvents &Events;
+  Membership Protocol;
+  Subscription Ticks;
+};
+
+} // namespace mimosa
+
+#endif // MIMOSA_DAEMON_MEMBERSHIP_DRIVER_H
--- a/daemon/mimosad_main.cpp
+++ b/daemon/mimosad_main.cpp
@@ -6,6 +6,30 @@
 
 #include <cstdlib>
 
+namespace {
+
+/// Serves until a termination signal; the exit status.
+int serve(mimosa::FiberLoop &Loop, const mimosa::DaemonOptions &Options) {
+  mimosa::Node Host(Loop, Options);
+  mimosa::CallerApi Api(Host);
+  mimosa::HttpServerOptions Http;
+  Http.Address = Options.CallerAddress;
+  mimosa::HttpServer Callers(Loop, Http, Api);
+  mimosa::Result<mimosa::Done> Started = Callers.start();
+  if (ok(Started))
+    Started = Host.start();
+  if (!ok(Started)) {
+    mimosa::logError("mimosad", errorOf(Started).Message);
+    return 2;
+  }
+  Loop.waitForStop();
+  Host.shutDown();
+  Callers.drain();
+  std::_Exit(0);
+}
+
+} // namespace
+
 int main(int Argc, char **Argv) {
   std::optional<int> Exit;
   mimosa::DaemonOptions Options = mimosa::parseDaemonOptions(Argc, Argv, &Exit);
@@ -13,20 +37,6 @@
     return *Exit;
   int Status = 0;
   mimosa::FiberLoop Loop;
-  Loop.run([&] {
-    mimosa::Node Host(Loop, Options);
-    mimosa::CallerApi Api(Host);
-    mimosa::HttpServerOptions Http;
-    Http.Address = Options.CallerAddress;
-    mimosa::HttpServer Callers(Loop, Http, Api);
-    auto Started = Callers.start();
-    if (!ok(Started)) {
-      mimosa::logError("mimosad", errorOf(Started).Message);
-      Status = 2;
-      return;
-    }
-    Host.start();
-    Loop.waitForStop();
-  });
+  Loop.run([&] { Status = serve(Loop, Options); });
   std::_Exit(Status);
 }
--- a/daemon/node.cpp
+++ b/daemon/node.cpp
@@ -1,5 +1,6 @@
 #include "daemon/node.h"
 
+#include "daemon/messages.h"
 #include "runtime/log.h"
 
 #include <random>
@@ -7,8 +8,13 @@
 namespace mimosa {
 
 namespace {
-constexpr Duration WatchTime = Seconds(30);
-constexpr Duration WatchRetryDelay = Milliseconds(500);
+
+constexpr Duration PlacementInterval = Milliseconds(20);
+constexpr Duration SeedRefreshInterval = Seconds(30);
+constexpr Duration DrainPoll = Milliseconds(10);
+/// Time that answers of other hosts may still name this one after it has told
+/// them that it is leaving.
+constexpr Duration LeaveSpread = Milliseconds(1500);
 
 uint64_t seedOf(const DaemonOptions &Options) {
   return Options.RandomSeed ? Options.RandomSeed : std::random_device()();
@@ -19,6 +25,13 @@
   return Incarnation(static_cast<uint64_t>(
       std::chrono::duration_cast<Milliseconds>(SinceEpoch).count()));
 }
+
+/// The service that a frame of ownership or of owners is about.
+struct ServiceOfFrame {
+  ServiceId Service;
+  MSGPACK_DEFINE_MAP(Service);
+};
+
 } // namespace
 
 Node::Node(FiberLoop &Loop, const DaemonOptions &Options)
@@ -31,69 +44,256 @@
                                      Options.Zone, Options.Region,
                                      startTime()}},
       Store(Loop, Options.StoreAddress),
-      Holder(Options.PeerAddress, Options.Zone), Queries(Context) {}
+      Listener(Loop, Options.PeerAddress.text(), *this, Traffic),
+      Members(Context, *this),
+      Configs(Context, Store, [this] { configChanged(); }),
+      Placed(Options.Region), Queries(Context), Forwards(Loop) {}
 
 Node::~Node() = default;
 
-void Node::start() { watchConfig(StoreVersion()); }
-
-void Node::watchConfig(StoreVersion Known) {
-  Store.watch(ConfigStoreKey, Known, WatchTime,
-              [this, Known](Result<std::optional<StoredValue>> Reply) {
-                StoreVersion Next = Known;
-                if (!ok(Reply)) {
-                  FiberLoop::sleepFor(WatchRetryDelay);
-                } else if (valueOf(Reply)) {
-                  Next = valueOf(Reply)->Version;
-                  adoptConfig(valueOf(Reply)->Value, ConfigSource::Watch);
-                }
-                watchConfig(Next);
-              });
-}
-
-void Node::adoptConfig(const std::string &Text, ConfigSource Source) {
-  Result<Config> Parsed = parseConfig(Text);
-  if (!ok(Parsed)) {
-    logWarn("config", "a document was refused: " + errorOf(Parsed).Message);
+Result<Done> Node::start() {
+  Result<Done> Listening = Listener.start();
+  if (!ok(Listening))
+    return Listening;
+  Peers.onLoss([this](const HostId &Host, PeerClient::Loss How) {
+    Members.hostUnreachable(Host);
+    Queries.onOwnerLost(Host, How);
+  });
+  registerGauges();
+  Configs.start();
+  Members.start(Options.Seeds);
+  refreshSeeds();
+  SeedRefresh =
+      Context.Loop.every(SeedRefreshInterval, [this] { refreshSeeds(); });
+  PlacementTicks = Context.Loop.every(PlacementInterval, [this] {
+    if (PlacementDirty)
+      updatePlacement();
+  });
+  return Done{};
+}
+
+void Node::refreshSeeds() {
+  Store.hosts([this](const Result<std::vector<PlatformHost>> &Reply) {
+    if (!ok(Reply))
+      return;
+    std::vector<HostId> Seeds = Options.Seeds;
+    for (const PlatformHost &Host : valueOf(Reply))
+      if (!Host.Leaving)
+        Seeds.push_back(Host.Host);
+    Members.setSeeds(std::move(Seeds));
+  });
+}
+
+void Node::shutDown() {
+  Leaving = true;
+  logInfo("node", "leaving: telling the other hosts");
+  Members.leave();
+  for (auto &[Name, Service] : Services)
+    Service->leave();
+  MonotonicTime Start = Context.Loop.now();
+  MonotonicTime Served = Start + Options.AddressLifetime + LeaveSpread;
+  MonotonicTime Limit = Served + Options.DrainLimit;
+  auto Busy = [this] {
+    if (Queries.running() > 0)
+      return true;
+    for (auto &[Name, Service] : Services)
+      if (!Service->ownsNothing())
+        return true;
+    return false;
+  };
+  while (Context.Loop.now() < Served || (Busy() && Context.Loop.now() < Limit))
+    FiberLoop::sleepFor(DrainPoll);
+  logInfo("node",
+          "left with " + std::to_string(Queries.running()) +
+              " queries in flight after " +
+              std::to_string(inMilliseconds(Context.Loop.now() - Start)) +
+              " ms");
+}
+
+void Node::memberChanged(const MemberChanged &Change) {
+  PlacementDirty = true;
+  const Member &Now = Change.Current;
+  bool Restarted =
+      Change.Before && Change.Before->HostIncarnation != Now.HostIncarnation;
+  if (Now.State != MemberState::Dead && !Restarted)
     return;
+  for (auto &[Name, Service] : Services)
+    Service->hostGone(Now.Host);
+  if (Now.State == MemberState::Dead)
+    Peers.disconnect(Now.Host);
+}
+
+void Node::pauseDetected(Duration) {
+  for (auto &[Name, Service] : Services)
+    Service->paused();
+}
+
+void Node::revisionAnnounced(const HostId &Peer, Revision Announced) {
+  Configs.announced(Peer, Announced);
+}
+
+void Node::configChanged() {
+  Members.members().setRevision(Configs.revision());
+  updatePlacement();
+}
+
+std::vector<HostId> Node::aliveHosts() {
+  std::vector<HostId> Out;
+  for (const Member &One : Members.members().members())
+    if (One.State == MemberState::Alive || One.State == MemberState::Suspect)
+      Out.push_back(One.Host);
+  return Out;
+}
+
+void Node::updatePlacement() {
+  PlacementDirty = false;
+  std::vector<Member> Present = Members.members().members();
+  bool SetsChanged = Placed.update(Present, Configs.config());
+  std::vector<HostId> ZoneHosts;
+  for (const Member &One : Present)
+    if (One.Zone == Options.Zone && One.State == MemberState::Alive)
+      ZoneHosts.push_back(One.Host);
+  Configs.setZoneHosts(ZoneHosts);
+  std::vector<HostId> Alive = aliveHosts();
+  const Config &Document = *Configs.config();
+  if (SetsChanged)
+    for (const Service &One : Document.Services)
+      configureService(One, Document);
+  for (auto &[Name, Service] : Services) {
+    Service->setAliveHosts(Alive);
+    if (!Document.service(Name))
+      Service->retire();
   }
-  if (Holder.offer(valueOf(std::move(Parsed)), Source))
-    applyConfig();
-}
-
-void Node::applyConfig() {
-  const Config &Document = *Holder.config();
-  logInfo("config", "revision " + std::to_string(Holder.revision().number()) +
-                        " is in force");
-  for (const Service &One : Document.Services) {
-    auto &Slot = Services[One.Name];
-    if (!Slot)
-      Slot = std::make_unique<ServiceNode>(
-          Context, One.Name,
-          [this](Reply Message) { Queries.onLocalReply(std::move(Message)); });
-    Slot->configure(Document);
+}
+
+void Node::configureService(const Service &One, const Config &Document) {
+  auto &Slot = Services[One.Name];
+  if (!Slot) {
+    ServiceId Name = One.Name;
+    Slot = std::make_unique<ServiceNode>(
+        Context, Store, Name, [this, Name](Reply Message) {
+          subRequestEnded(Name, std::move(Message));
+        });
   }
+  Slot->configure(Document, Placed);
+  if (Leaving)
+    Slot->leave();
+}
+
+ServiceNode *Node::service(const ServiceId &Name) {
+  if (!Configs.config()->service(Name))
+    return nullptr;
+  auto It = Services.find(Name);
+  return It == Services.end() ? nullptr : It->second.get();
+}
+
+void Node::subRequestEnded(const ServiceId &Service, Reply Message) {
+  if (Message.To.Root == Context.Self.Host) {
+    Queries.onLocalReply(std::move(Message));
+    return;
+  }
+  HostId Root = Message.To.Root;
+  DispatchReply Out = asDispatchReply(std::move(Message));
+  Out.Service = Service;
+  Peers.send(Root, MessageType::DispatchReply, packBody(Out));
+}
+
+bool Node::handleFrame(const PeerFrame &Frame, PeerReplier Reply) {
+  switch (Frame.Type) {
+  case MessageType::ConfigPull:
+    Reply(MessageType::ConfigDocument, Configs.pullReply(Frame));
+    return true;
+  case MessageType::VoteRequest:
+  case MessageType::VoteReply:
+  case MessageType::OwnershipRelease:
+  case MessageType::BackendSummary:
+    return routeToService(Frame);
+  case MessageType::Dispatch:
+    if (auto Message = unpackBody<Dispatch>(Frame.Body); ok(Message))
+      dispatch(valueOf(std::move(Message)));
+    return true;
+  case MessageType::DispatchReply:
+    if (auto Message = unpackBody<DispatchReply>(Frame.Body); ok(Message))
+      Queries.onReply(valueOf(std::move(Message)));
+    return true;
+  case MessageType::DispatchCancel:
+    if (auto Message = unpackBody<DispatchCancel>(Frame.Body); ok(Message))
+      dispatchCancelled(valueOf(Message));
+    return true;
+  default:
+    return Members.handleFrame(Frame);
+  }
+}
+
+bool Node::routeToService(const PeerFrame &Frame) {
+  if (Frame.Type == MessageType::BackendSummary) {
+    auto Report = unpackBody<OwnerReport>(Frame.Body);
+    if (!ok(Report))
+      return false;
+    if (ServiceNode *Found = service(valueOf(Report).Service))
+      Found->reported(valueOf(Report));
+    return true;
+  }
+  auto Named = unpackBody<ServiceOfFrame>(Frame.Body);
+  if (!ok(Named))
+    return false;
+  ServiceNode *Found = service(valueOf(Named).Service);
+  return Found && Found->handleFrame(Frame);
+}
+
+void Node::dispatch(Dispatch Message) {
+  ServiceNode *Found = service(Message.Service);
+  if (!Found) {
+    refuseDispatch(Message);
+    return;
+  }
+  auto Text = std::make_shared<const std::string>(std::move(Message.Query));
+  MonotonicTime Deadline = Context.Loop.now() + Message.Remaining;
+  for (DispatchItem &Item : Message.Items) {
+    SubRequest Work;
+    Work.Key = {Message.Root, Message.RootIncarnation, Item.Id};
+    Work.Snapshot = Message.Snapshot;
+    Work.Shards = std::move(Item.Shards);
+    Work.Class =
+        Message.IsBatch ? SubRequestClass::Batch : SubRequestClass::Interactive;
+    Work.Deadline = Deadline;
+    Work.Idempotent = Message.Idempotent;
+    Work.Query = Text;
+    Found->submit(Item.Backend, std::move(Work));
+  }
+}
+
+void Node::refuseDispatch(const Dispatch &Message) {
+  for (const DispatchItem &Item : Message.Items) {
+    DispatchReply Out;
+    Out.Service = Message.Service;
+    Out.RootIncarnation = Message.RootIncarnation;
+    Out.Id = Item.Id;
+    Out.Outcome = DispatchOutcome::NotRun;
+    Out.Reason = RefusalReason::NotOwner;
+    Peers.send(Message.Root, MessageType::DispatchReply, packBody(Out));
+  }
+}
+
+void Node::dispatchCancelled(const DispatchCancel &Message) {
+  ServiceNode *Found = service(Message.Service);
+  if (!Found)
+    return;
+  for (const DispatchCancelItem &Item : Message.Items)
+    Found->cancel(Item.Backend,
+                  {Message.Root, Message.RootIncarnation, Item.Id});
 }
 
 QueryAnswer Node::query(const QueryRequest &Request,
                         const std::shared_ptr<CallerSignals> &Caller) {
-  auto It = Services.find(Request.Service);
-  if (It == Services.end()) {
-    QueryAnswer Answer;
-    Answer.Code = ResultCode::UnknownService;
-    Answer.Message = "service '" + Request.Service.text() +
-                     "' is not in revision " +
-                     std::to_string(Holder.revision().number());
-    return Answer;
-  }
-  ServiceNode &Node = *It->second;
+  ServiceNode &Served = *service(Request.Service);
   QuerySessionOptions Session;
   Session.Received = Context.Loop.now();
-  Session.Deadline = Session.Received +
-                     Request.Deadline.value_or(Node.settings().DefaultDeadline);
+  Session.Deadline = Session.Received + Request.Deadline.value_or(
+                                            Served.settings().DefaultDeadline);
   Session.Idempotent = Request.Idempotent;
   Session.Limit = Request.Limit;
-  return Queries.run(Request, Node, Session, Caller);
+  return Queries.run(Request, Served, Session, Caller);
 }
 
 } // namespace mimosa
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -1,30 +1,62 @@
 // One entry host: its services, its configuration and its part among the other
-// hosts.
+// hosts. Joins the drivers; decisions are taken in the modules they drive.
 
 #ifndef MIMOSA_DAEMON_NODE_H
 #define MIMOSA_DAEMON_NODE_H
 
-#include "config/config_holder.h"
+#include "daemon/config_driver.h"
+#include "daemon/membership_driver.h"
 #include "daemon/options.h"
+#include "daemon/query_forwarder.h"
 #include "daemon/query_runner.h"
+#include "placement/placement.h"
 #include "platform/http_key_value_store.h"
 
 namespace mimosa {
 
-class Node {
+class Node : private MembershipEvents, private PeerHandler {
 public:
   Node(FiberLoop &Loop, const DaemonOptions &Options);
-  ~Node();
+  ~Node() override;
+
+  /// Listens for other daemons and joins them; fails with BadSetting.
+  Result<Done> start();
+  /// Tells the others that this host is leaving, serves until no caller can
+  /// still hold its address, and releases what it owns; suspends.
+  void shutDown();
+  bool leaving() const { return Leaving; }
 
-  void start();
   QueryAnswer query(const QueryRequest &Request,
                     const std::shared_ptr<CallerSignals> &Caller);
+  /// The service, null if it is not in the configuration.
+  ServiceNode *service(const ServiceId &Name);
+
   NodeContext &context() { return Context; }
+  const DaemonOptions &options() const { return Options; }
+  ConfigDriver &configs() { return Configs; }
+  Membership &members() { return Members.members(); }
+  const Placement &placement() const { return Placed; }
+  QueryForwarder &forwarder() { return Forwards; }
+  /// Values for /v1/status.
+  Json status();
 
 private:
-  void watchConfig(StoreVersion Known);
-  void adoptConfig(const std::string &Text, ConfigSource Source);
-  void applyConfig();
+  void memberChanged(const MemberChanged &Change) override;
+  void pauseDetected(Duration Gap) override;
+  void revisionAnnounced(const HostId &Peer, Revision Announced) override;
+  bool handleFrame(const PeerFrame &Frame, PeerReplier Reply) override;
+
+  bool routeToService(const PeerFrame &Frame);
+  void dispatch(Dispatch Message);
+  void dispatchCancelled(const DispatchCancel &Message);
+  void refuseDispatch(const Dispatch &Message);
+  void subRequestEnded(const ServiceId &Service, Reply Message);
+  void configChanged();
+  void updatePlacement();
+  void configureService(const Service &One, const Config &Document);
+  std::vector<HostId> aliveHosts();
+  void refreshSeeds();
+  void registerGauges();
 
   DaemonOptions Options;
   SeededRandom Rand;
@@ -33,9 +65,17 @@
   PeerClient Peers;
   NodeContext Context;
   HttpKeyValueStore Store;
-  ConfigHolder Holder;
+  PeerServer Listener;
+  MembershipDriver Members;
+  ConfigDriver Configs;
+  Placement Placed;
   QueryRunner Queries;
+  QueryForwarder Forwards;
   std::unordered_map<ServiceId, std::unique_ptr<ServiceNode>> Services;
+  bool PlacementDirty = false;
+  bool Leaving = false;
+  Subscription PlacementTicks;
+  Subscription SeedRefresh;
 };
 
 } // namespace mimosa
--- /dev/null
+++ b/daemon/operator_api.h
@@ -0,0 +1,37 @@
+// The HTTP interface of mimosad for operators: configuration, hosts, status and
+// metrics; see docs/design.md, 5.2.
+
+#ifndef MIMOSA_DAEMON_OPERATOR_API_H
+#define MIMOSA_DAEMON_OPERATOR_API_H
+
+#include "runtime/http.h"
+
+#include <optional>
+
+namespace mimosa {
+
+class Node;
+
+class OperatorApi {
+public:
+  explicit OperatorApi(Node &Host) : Host(Host) {}
+
+  /// The answer, or nothing if the path is not one of the operators'.
+  std::optional<HttpResponse> handle(const HttpRequest &Request);
+
+private:
+  HttpResponse changeConfig(const HttpRequest &Request);
+  HttpResponse hosts();
+
+  Node &Host;
+};
+
+/// The HTTP status that goes with \p Code.
+int httpStatusOf(ResultCode Code);
+
+/// The answer that reports \p E.
+HttpResponse errorAnswer(const Error &E);
+
+} // namespace mimosa
+
+#endif // MIMOSA_DAEMON_OPERATOR_API_H
--- /dev/null
+++ b/daemon/owner_table.cpp
@@ -0,0 +1,68 @@
+#include "daemon/owner_table.h"
+
+#include "base/rendezvous.h"
+
+#include <algorithm>
+
+namespace mimosa {
+
+Partition partitionOf(const BackendServerId &Backend) {
+  return Partition(
+      static_cast<uint32_t>(hash64(Backend.text()) % PartitionCount));
+}
+
+void OwnerTable::setRegions(const std::vector<RegionId> &Next) {
+  if (Next == Regions)
+    return;
+  Regions = Next;
+  Owners.assign(Regions.size() * PartitionCount, std::nullopt);
+  Marks.clear();
+}
+
+bool OwnerTable::reported(const OwnerReport &Report) {
+  auto Found = std::find(Regions.begin(), Regions.end(), Report.Region);
+  if (Found == Regions.end())
+    return false;
+  Mark &Last = Marks[{Report.Region, Report.Owner}];
+  bool Newer =
+      Report.OwnerIncarnation > Last.Life ||
+      (Report.OwnerIncarnation == Last.Life && Report.Sequence > Last.Sequence);
+  if (!Newer)
+    return false;
+  Last = {Report.OwnerIncarnation, Report.Sequence};
+  auto Base = static_cast<uint32_t>(Found - Regions.begin()) * PartitionCount;
+  bool Changed = false;
+  for (uint32_t I = 0; I < PartitionCount; ++I) {
+    auto &Slot = Owners[Base + I];
+    bool Owns = std::find(Report.Owned.begin(), Report.Owned.end(),
+                          Partition(I)) != Report.Owned.end();
+    if (Owns && Slot != Report.Owner) {
+      Slot = Report.Owner;
+      Changed = true;
+    } else if (!Owns && Slot == Report.Owner) {
+      Slot.reset();
+      Changed = true;
+    }
+  }
+  return Changed;
+}
+
+bool OwnerTable::hostGone(const HostId &Host) {
+  bool Changed = false;
+  for (auto &Slot : Owners) {
+    if (Slot != Host)
+      continue;
+    Slot.reset();
+    Changed = true;
+  }
+  return Changed;
+}
+
+bool OwnerTable::denied(uint32_t Index, const HostId &Host) {
+  if (Index >= Owners.size() || Owners[Index] != Host)
+    return false;
+  Owners[Index].reset();
+  return true;
+}
+
+} // namespace mimosa
--- /dev/null
+++ b/daemon/ownership_driver.cpp
@@ -0,0 +1,199 @@
+#include "daemon/ownership_driver.h"
+
+#include "base/json_fields.h"
+#include "runtime/log.h"
+
+namespace mimosa {
+
+namespace {
+
+Json hostList(const std::vector<HostId> &Hosts) {
+  Json Out = Json::array();
+  for (const HostId &Host : Hosts)
+    Out.push_back(Host.text());
+  return Out;
+}
+
+std::vector<HostId> hostsIn(const Json &List) {
+  std::vector<HostId> Out;
+  for (const Json &Host : List)
+    if (Host.is_string())
+      Out.emplace_back(Host.get<std::string>());
+  return Out;
+}
+
+std::string seatText(const SeatRecord &Record) {
+  Json Out = {{"version", Record.Version.number()},
+              {"seats", hostList(Record.Seats)},
+              {"previous", hostList(Record.Previous)}};
+  return Out.dump();
+}
+
+std::optional<SeatRecord> parseSeats(const std::string &Text) {
+  Result<Json> Parsed = parseJson(Text);
+  if (!ok(Parsed))
+    return std::nullopt;
+  JsonFields Fields(valueOf(Parsed), "seats");
+  SeatRecord Out;
+  Out.Version = SeatVersion(
+      static_cast<uint64_t>(Fields.number("version", 0, INT64_MAX)));
+  Out.Seats = hostsIn(Fields.array("seats"));
+  Out.Previous = hostsIn(Fields.array("previous"));
+  if (Fields.failed())
+    return std::nullopt;
+  return Out;
+}
+
+OwnershipOptions optionsFor(const NodeContext &Context,
+                            const ServiceId &Service,
+                            Duration SubRequestLimit) {
+  OwnershipOptions Out;
+  Out.Service = Service;
+  Out.Region = Context.Self.Region;
+  Out.Self = Context.Self.Host;
+  Out.SelfIncarnation = Context.Self.Life;
+  Out.SubRequestLimit = SubRequestLimit;
+  return Out;
+}
+
+} // namespace
+
+OwnershipDriver::OwnershipDriver(NodeContext &Context, KeyValueStore &Store,
+                                 DispatchControl &Control,
+                                 const ServiceId &Service,
+                                 Duration SubRequestLimit)
+    : Context(Context), Store(Store), Control(Control),
+      StoreKey("seats/" + Service.text() + "/" + Context.Self.Region.text()),
+      Protocol(optionsFor(Context, Service, SubRequestLimit), Context.Rand,
+               Context.Loop.now()),
+      Self(std::make_shared<OwnershipDriver *>(this)) {
+  Ticks = Context.Loop.every(OwnershipTick, [this] { tick(); });
+}
+
+OwnershipDriver::~OwnershipDriver() { *Self = nullptr; }
+
+void OwnershipDriver::tick() {
+  OwnershipActions Actions;
+  Protocol.tick(now(), Actions);
+  perform(Actions);
+}
+
+void OwnershipDriver::place(const OwnershipPlacement &Placed) {
+  OwnershipActions Actions;
+  Protocol.setHostSet(Placed.HostSet);
+  Protocol.setSeatCandidates(Placed.SeatCandidates, now());
+  Protocol.setPartitions(Placed.Preferred, now(), Actions);
+  perform(Actions);
+}
+
+void OwnershipDriver::setAliveHosts(const std::vector<HostId> &Hosts) {
+  std::set<HostId> Next(Hosts.begin(), Hosts.end());
+  for (const HostId &Host : Alive)
+    if (Next.count(Host) == 0)
+      Protocol.hostGone(Host);
+  for (const HostId &Host : Next)
+    if (Alive.count(Host) == 0)
+      Protocol.hostAlive(Host, now());
+  Alive = std::move(Next);
+}
+
+void OwnershipDriver::paused() {
+  OwnershipActions Actions;
+  Protocol.paused(now(), Actions);
+  perform(Actions);
+}
+
+void OwnershipDriver::leave() {
+  OwnershipActions Actions;
+  Protocol.leave(now(), Actions);
+  perform(Actions);
+}
+
+void OwnershipDriver::dispatchEnded(Partition P) {
+  OwnershipActions Actions;
+  Protocol.dispatchEnded(P, now(), Actions);
+  perform(Actions);
+}
+
+bool OwnershipDriver::handleFrame(const PeerFrame &Frame) {
+  OwnershipActions Actions;
+  if (Frame.Type == MessageType::VoteRequest) {
+    if (auto Message = unpackBody<VoteRequest>(Frame.Body); ok(Message))
+      Protocol.voteRequested(valueOf(Message), now(), Actions);
+  } else if (Frame.Type == MessageType::VoteReply) {
+    if (auto Message = unpackBody<VoteReply>(Frame.Body); ok(Message))
+      Protocol.voteReplied(valueOf(Message), now(), Actions);
+  } else if (Frame.Type == MessageType::OwnershipRelease) {
+    if (auto Message = unpackBody<OwnershipRelease>(Frame.Body); ok(Message))
+      Protocol.released(valueOf(Message), now(), Actions);
+  } else {
+    return false;
+  }
+  perform(Actions);
+  return true;
+}
+
+void OwnershipDriver::perform(OwnershipActions &Actions) {
+  for (const OwnershipAction &Action : Actions)
+    std::visit([this](const auto &One) { perform(One); }, Action);
+}
+
+void OwnershipDriver::perform(const SendVoteRequest &Action) {
+  Context.Peers.send(Action.To, MessageType::VoteRequest,
+                     packBody(Action.Message));
+}
+
+void OwnershipDriver::perform(const SendVoteReply &Action) {
+  Context.Peers.send(Action.To, MessageType::VoteReply,
+                     packBody(Action.Message));
+}
+
+void OwnershipDriver::perform(const SendOwnershipRelease &Action) {
+  Context.Peers.send(Action.To, MessageType::OwnershipRelease,
+                     packBody(Action.Message));
+}
+
+void OwnershipDriver::perform(const ReadSeats &) {
+  Store.read(StoreKey, [Owner = Self](const Result<StoredValue> &Reply) {
+    OwnershipDriver *Live = *Owner;
+    if (!Live)
+      return;
+    if (!ok(Reply) && errorOf(Reply).Code != ResultCode::NotFound) {
+      Live->Protocol.storeFailed(Live->now());
+      return;
+    }
+    if (!ok(Reply)) {
+      Live->Protocol.seatsRead(std::nullopt, 0, Live->now());
+      return;
+    }
+    Live->Protocol.seatsRead(parseSeats(valueOf(Reply).Value),
+                             valueOf(Reply).Version.number(), Live->now());
+  });
+}
+
+void OwnershipDriver::perform(const WriteSeats &Action) {
+  Store.compareAndSwap(
+      StoreKey, seatText(Action.Record), StoreVersion(Action.ExpectedVersion),
+      [Owner = Self](const Result<SwapReply> &Reply) {
+        OwnershipDriver *Live = *Owner;
+        if (!Live)
+          return;
+        if (!ok(Reply))
+          Live->Protocol.storeFailed(Live->now());
+        else if (valueOf(Reply).Swapped)
+          Live->Protocol.seatsWritten(valueOf(Reply).Current.Version.number(),
+                                      Live->now());
+        else
+          Live->Protocol.seatsConflict(Live->now());
+      });
+}
+
+void OwnershipDriver::perform(const StartDispatch &Action) {
+  Control.startDispatch(Action.P);
+}
+
+void OwnershipDriver::perform(const StopDispatch &Action) {
+  Control.stopDispatch(Action.P);
+}
+
+} // namespace mimosa
--- /dev/null
+++ b/daemon/ownership_driver.h
@@ -0,0 +1,78 @@
+// Runs the Ownership of one service in this host's region: carries its frames,
+// keeps the seat record in the key-value service and tells when dispatch has to
+// start and stop.
+
+#ifndef MIMOSA_DAEMON_OWNERSHIP_DRIVER_H
+#define MIMOSA_DAEMON_OWNERSHIP_DRIVER_H
+
+#include "daemon/node_context.h"
+#include "ownership/ownership.h"
+#include "platform/key_value_store.h"
+
+#include <memory>
+
+namespace mimosa {
+
+/// Starts and stops the dispatch of partitions; must not suspend.
+class DispatchControl {
+public:
+  virtual ~DispatchControl() = default;
+  virtual void startDispatch(Partition P) = 0;
+  /// OwnershipDriver::dispatchEnded() is due when nothing of \p P runs.
+  virtual void stopDispatch(Partition P) = 0;
+};
+
+/// What placement says about a service.
+struct OwnershipPlacement {
+  std::vector<HostId> HostSet;
+  std::vector<HostId> SeatCandidates;
+  std::vector<PreferredOwner> Preferred;
+};
+
+class OwnershipDriver {
+public:
+  OwnershipDriver(NodeContext &Context, KeyValueStore &Store,
+                  DispatchControl &Control, const ServiceId &Service,
+                  Duration SubRequestLimit);
+  ~OwnershipDriver();
+
+  void place(const OwnershipPlacement &Placed);
+  /// The hosts of the region that are up now.
+  void setAliveHosts(const std::vector<HostId> &Hosts);
+  void paused();
+  void leave();
+  void dispatchEnded(Partition P);
+  /// False if the frame is not one of ownership's.
+  bool handleFrame(const PeerFrame &Frame);
+
+  Ownership &state() { return Protocol; }
+  const Ownership &state() const { return Protocol; }
+
+private:
+  /// Cleared with the driver, so that late replies of the store find nobody.
+  using Lifetime = std::shared_ptr<OwnershipDriver *>;
+
+  void perform(OwnershipActions &Actions);
+  void perform(const SendVoteRequest &Action);
+  void perform(const SendVoteReply &Action);
+  void perform(const SendOwnershipRelease &Action);
+  void perform(const ReadSeats &Action);
+  void perform(const WriteSeats &Action);
+  void perform(const StartDispatch &Action);
+  void perform(const StopDispatch &Action);
+  void tick();
+  MonotonicTime now() const { return Context.Loop.now(); }
+
+  NodeContext &Context;
+  KeyValueStore &Store;
+  DispatchControl &Control;
+  std::string StoreKey;
+  Ownership Protocol;
+  std::set<HostId> Alive;
+  Lifetime Self;
+  Subscription Ticks;
+};
+
+} // namespace mimosa
+
+#endif // MIMOSA_DAEMON_OWNERSHIP_DRIVER_H
--- /dev/null
+++ b/daemon/query_forwarder.cpp
@@ -0,0 +1,54 @@
+#include "daemon/query_forwarder.h"
+
+namespace mimosa {
+
+namespace {
+constexpr Duration ConnectTimeout = Milliseconds(300);
+constexpr size_t MaxIdlePerHost = 32;
+} // namespace
+
+std::shared_ptr<HttpConnection>
+QueryForwarder::connection(const std::string &Address) {
+  auto &Pool = Idle[Address];
+  if (!Pool.empty()) {
+    auto Kept = std::move(Pool.back());
+    Pool.pop_back();
+    return Kept;
+  }
+  auto Opened = HttpConnection::open(Loop, Address, ConnectTimeout);
+  if (!ok(Opened))
+    return nullptr;
+  return valueOf(std::move(Opened));
+}
+
+Result<HttpResponse> QueryForwarder::forward(
+    const std::string &Body, const std::vector<std::string> &Addresses,
+    Duration Limit, const std::shared_ptr<CallerSignals> &Caller) {
+  for (const std::string &Address : Addresses) {
+    std::shared_ptr<HttpConnection> Connection = connection(Address);
+    if (!Connection)
+      continue;
+    ++Forwarded;
+    // Closing the connection tells the other host that the caller has gone.
+    std::weak_ptr<HttpConnection> Weak = Connection;
+    Caller->onLoss([Weak](CallerLoss) {
+      if (auto Live = Weak.lock())
+        Live->close();
+    });
+    HttpRequest Request{"POST", "/v1/query", Body};
+    Request.Forwarded = true;
+    Result<HttpResponse> Answer = Connection->exchange(Request, Limit);
+    Caller->onLoss(nullptr);
+    if (!ok(Answer))
+      return Error{ResultCode::OutcomeUnknown, "the host that serves the "
+                                               "service did not answer"};
+    auto &Pool = Idle[Address];
+    if (Connection->isOpen() && Pool.size() < MaxIdlePerHost)
+      Pool.push_back(std::move(Connection));
+    return Answer;
+  }
+  return Error{ResultCode::PeerUnreachable,
+               "no host that serves the service accepts connections"};
+}
+
+} // namespace mimosa
--- /dev/null
+++ b/daemon/query_forwarder.h
@@ -0,0 +1,40 @@
+// Forwards a query that reached a host outside the service's host set to one
+// inside, once; see docs/design.md, 4.1.
+
+#ifndef MIMOSA_DAEMON_QUERY_FORWARDER_H
+#define MIMOSA_DAEMON_QUERY_FORWARDER_H
+
+#include "runtime/http.h"
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace mimosa {
+
+class QueryForwarder {
+public:
+  explicit QueryForwarder(FiberLoop &Loop) : Loop(Loop) {}
+
+  /// Sends the query in \p Body to the first of \p Addresses that accepts a
+  /// connection; suspends. Fails with PeerUnreachable if none does, so that the
+  /// query did not run, and with OutcomeUnknown if no answer came.
+  Result<HttpResponse> forward(const std::string &Body,
+                               const std::vector<std::string> &Addresses,
+                               Duration Limit,
+                               const std::shared_ptr<CallerSignals> &Caller);
+  uint64_t forwarded() const { return Forwarded; }
+
+private:
+  std::shared_ptr<HttpConnection> connection(const std::string &Address);
+
+  FiberLoop &Loop;
+  std::unordered_map<std::string, std::vector<std::shared_ptr<HttpConnection>>>
+      Idle;
+  uint64_t Forwarded = 0;
+};
+
+} // namespace mimosa
+
+#endif // MIMOSA_DAEMON_QUERY_FORWARDER_H
--- a/daemon/query_runner.cpp
+++ b/daemon/query_runner.cpp
@@ -264,13 +264,16 @@
     return;
   Outstanding Sent = std::move(It->second);
   BySubRequest.erase(It);
-  Sent.Query->Node.directory().ownerReported(Sent.Backend, Message.QueueLength,
-                                             Message.Limit, Context.Loop.now());
+  if (Message.Reason == RefusalReason::NotOwner)
+    Sent.Query->Node.ownerDenied(Sent.Backend, Sent.Owner);
+  else
+    Sent.Query->Node.directory().ownerReported(
+        Sent.Backend, Message.QueueLength, Message.Limit, Context.Loop.now());
   Sent.Query->Events.emplace_back(Sent.Number, eventOf(Message));
   settle(Sent.Query);
 }
 
-void QueryRunner::onLocalReply(Reply Message) {
+DispatchReply asDispatchReply(Reply Message) {
   DispatchReply Out;
   Out.RootIncarnation = Message.To.RootIncarnation;
   Out.Id = Message.To.Id;
@@ -280,7 +283,11 @@
   Out.ServiceTime = Message.ServiceTime;
   Out.QueueLength = Message.QueueLength;
   Out.Limit = Message.Limit;
-  onReply(std::move(Out));
+  return Out;
+}
+
+void QueryRunner::onLocalReply(Reply Message) {
+  onReply(asDispatchReply(std::move(Message)));
 }
 
 void QueryRunner::onOwnerLost(const HostId &Owner, PeerClient::Loss How) {
--- a/daemon/query_runner.h
+++ b/daemon/query_runner.h
@@ -66,6 +66,9 @@
   QueryCounters Total;
 };
 
+/// \p Message as it travels to the root; the service is left empty.
+DispatchReply asDispatchReply(Reply Message);
+
 /// The outcome that \p Reason stands for in a session.
 Refusal refusalOf(RefusalReason Reason);
 
--- a/daemon/service_node.h
+++ b/daemon/service_node.h
@@ -1,9 +1,9 @@
 // One service on this host: its backend servers as the root of a query sees
-// them (BackendDirectory) and, for the partitions that this host owns, the
-// dispatch to them.
+// them (BackendDirectory), the ownership of partitions, and the dispatch to the
+// backend servers of those that this host owns.
 //
-//   ServiceNode Storm(Context, ServiceId("storm"), OnReply);
-//   Storm.configure(Document, HostSet, Preferred);
+//   ServiceNode Storm(Context, Store, ServiceId("storm"), OnReply);
+//   Storm.configure(Document, Placed);
 //   Storm.submit(Backend, Work);          // as owner
 //   Storm.directory();                    // as root
 
@@ -14,43 +14,90 @@
 #include "config/config.h"
 #include "daemon/backend_links.h"
 #include "daemon/node_context.h"
+#include "daemon/owner_table.h"
+#include "daemon/ownership_driver.h"
 #include "dispatch/dispatcher.h"
+#include "placement/placement.h"
 
 namespace mimosa {
 
-/// The partition of a backend server; the same on all hosts at all times.
-Partition partitionOf(const BackendServerId &Backend);
-
-class ServiceNode : private DispatchPermission {
+class ServiceNode : private DispatchPermission, private DispatchControl {
 public:
-  ServiceNode(NodeContext &Context, ServiceId Service,
+  ServiceNode(NodeContext &Context, KeyValueStore &Store, ServiceId Service,
               BackendLinks::ReplyCallback OnReply);
   ~ServiceNode() override;
 
-  /// Takes the configuration of the service, which must be in \p Document.
-  void configure(const Config &Document);
+  /// Takes the configuration of the service, which must be in \p Document, and
+  /// what follows from the members.
+  void configure(const Config &Document, const Placement &Placed);
+  /// The service is no longer in the configuration. The object stays, because
+  /// fibers of its connections may still run.
+  void retire();
+  void setAliveHosts(const std::vector<HostId> &Hosts);
+  /// \p Host is dead.
+  void hostGone(const HostId &Host);
+  void paused();
+  /// Releases all partitions; ownsNothing() tells when that is done.
+  void leave();
+  bool ownsNothing() const;
+
+  /// Frames 12 to 15 of this service.
+  bool handleFrame(const PeerFrame &Frame);
+  void reported(const OwnerReport &Report);
 
   const Service &settings() const { return Settings; }
   BackendDirectory &directory() { return Directory; }
+  const Dispatcher &gates() const { return Gates; }
+  /// The hosts that serve the service, in all regions.
+  const std::vector<HostId> &hosts() const { return Hosts; }
+  bool isServedHere() const { return ServedHere; }
+  const Ownership *ownership() const {
+    return Owner ? &Owner->state() : nullptr;
+  }
 
   /// Sends \p Work to \p Backend as its owner; every call is answered once
   /// through the reply callback, possibly before it returns.
   void submit(const BackendServerId &Backend, SubRequest Work);
   void cancel(const BackendServerId &Backend, const SubRequestKey &Key);
+  /// \p Host has refused a sub-request to \p Backend as not being its owner.
+  void ownerDenied(const BackendServerId &Backend, const HostId &Host);
 
 private:
   bool mayDispatch(Partition P, MonotonicTime Now) const override;
-  void publish(GateId Gate);
+  void startDispatch(Partition P) override;
+  void stopDispatch(Partition P) override;
+
+  void configureBackends(const Config &Document);
+  void place(const Config &Document, const Placement &Placed);
+  std::vector<PreferredOwner> preferredOwners(const Placement &Placed) const;
   void tick();
-  void ownAll();
+  void finishReleases();
+  void publishIfDue();
+  void publish(bool All);
+  OwnerReport makeReport(bool All);
+  void ownersChanged();
 
   NodeContext &Context;
+  KeyValueStore &Store;
   ServiceId Name;
   Service Settings;
   BackendDirectory Directory;
   Dispatcher Gates;
   BackendLinks Links;
-  uint64_t SummarySequence = 0;
+  OwnerTable Owners;
+  std::unique_ptr<OwnershipDriver> Owner;
+  std::vector<HostId> Hosts;
+  std::vector<HostId> Alive;
+  bool ServedHere = false;
+  /// Backend servers of the own region by partition.
+  std::map<Partition, uint32_t> BackendsIn;
+  std::unordered_map<BackendServerId, uint32_t> IndexOf;
+  std::set<Partition> Ending;
+  std::set<GateId> Dirty;
+  bool OwnedChanged = false;
+  uint64_t ReportSequence = 0;
+  MonotonicTime NextOwnedReport;
+  MonotonicTime NextFullReport;
   Subscription Ticks;
 };
 
