Let every property of the new modules fail on broken code

Cause: a property that cannot fail shows nothing. On a scratch copy, edits that break the code were tried one at a time against the tests.

The replica property drew sets of more distinct shards than there are, which RapidCheck discards, so that only empty cases were left; it now draws bits. Generators whose range grows with the size of the case are resized. The admission property now checks each waiting query's expiry, and a fingerprint that is used again is counted once. The wait of batch is also checked where interactive arrivals decide it.

--- a/admission/admission_queue_test.cpp
+++ b/admission/admission_queue_test.cpp
@@ -37,8 +37,8 @@
 // waits while another is served again and again.
 RC_GTEST_PROP(FairQueue, BackloggedServicesShareByWeight, ()) {
   FairQueue Queue;
-  auto Weights = *rc::gen::nonEmpty(
-      rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 8)));
+  auto Weights = *rc::gen::nonEmpty(rc::gen::container<std::vector<int>>(
+      rc::gen::resize(rc::kNominalSize, rc::gen::inRange(1, 8))));
   int WeightSum = 0;
   for (size_t I = 0; I < Weights.size(); ++I) {
     ServiceId Service("s" + std::to_string(I));
@@ -152,15 +152,27 @@
 // Guards against batch being promised a start while interactive queries keep
 // arriving as fast as all complete.
 TEST(AdmissionQueue, PredictedWaitOfBatchCountsInteractiveArrivals) {
-  Queue All(1);
-  All.add(A, Interactive);
-  All.poll(Start);
-  All.finished(RequestId(1), QueryEnd::Answered, Start + Milliseconds(100));
-  for (int I = 0; I < 50; ++I)
+  // 10 completions per second; the first query arrived in the same second.
+  struct ArrivalCase {
+    const char *What;
+    int Interactive, Batch, WaitMs;
+  };
+  const ArrivalCase Cases[] = {
+      {"4 completions per second are left", 5, 10, 3750},
+      {"only the share of batch is left", 50, 2, 4000},
+  };
+  for (const ArrivalCase &Case : Cases) {
+    Queue All(1);
     All.add(A, Interactive);
-  for (int I = 0; I < 2; ++I)
-    All.add(A, Batch);
-  EXPECT_EQ(All.predictedWait(A, Batch, Start), Seconds(4));
+    All.poll(Start);
+    All.finished(RequestId(1), QueryEnd::Answered, Start + Milliseconds(100));
+    for (int I = 0; I < Case.Interactive; ++I)
+      All.add(A, Interactive);
+    for (int I = 0; I < Case.Batch; ++I)
+      All.add(A, Batch);
+    Duration Wait = All.predictedWait(A, Batch, Start);
+    EXPECT_EQ(inMilliseconds(Wait), Case.WaitMs) << Case.What;
+  }
 }
 
 // Guards against queries that get lost, run twice, run after their deadline or
@@ -170,7 +182,8 @@
   MonotonicTime Now = Start;
   std::map<uint64_t, MonotonicTime> Waiting;
   std::vector<RequestId> Running;
-  auto Steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 60));
+  auto Steps = *rc::gen::container<std::vector<int>>(
+      rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, 60)));
   uint64_t Last = 0;
   for (int Step : Steps) {
     Now += Milliseconds(Step % 7);
@@ -202,7 +215,11 @@
     RC_ASSERT(Running.size() == All.running());
     RC_ASSERT(Waiting.size() == All.waiting(Interactive) + All.waiting(Batch));
     RC_ASSERT(Waiting.empty() || Running.size() == 3u);
-    RC_ASSERT(Waiting.empty() == !All.nextExpiry());
+    std::optional<MonotonicTime> First;
+    for (const auto &[Number, Deadline] : Waiting)
+      First = std::min(First.value_or(Deadline), Deadline);
+    RC_ASSERT(All.nextExpiry() == First);
+    RC_ASSERT(!First || *First > Now);
   }
 }
 
--- a/backend/snapshot_map_test.cpp
+++ b/backend/snapshot_map_test.cpp
@@ -135,13 +135,17 @@
 // Guards against replicas that are missing, listed twice or in another region
 // while the own one has the shard.
 RC_GTEST_PROP(SnapshotMap, ReplicasAreTheHoldersOfTheShard, ()) {
+  // Each number stands for a backend server: 6 bits for its shards and one for
+  // its region.
+  auto Servers = *rc::gen::container<std::vector<int>>(
+      rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, 128)));
   Fleet All;
-  auto Count = *rc::gen::inRange(0, 8);
-  for (int I = 0; I < Count; ++I) {
-    auto Shards = *rc::gen::container<std::set<uint32_t>>(
-        rc::gen::inRange<uint32_t>(0, 6));
-    All.add({held("v1", {Shards.begin(), Shards.end()}, 6)},
-            *rc::gen::arbitrary<bool>());
+  for (int Bits : Servers) {
+    std::vector<uint32_t> Shards;
+    for (uint32_t Shard = 0; Shard < 6; ++Shard)
+      if (Bits >> Shard & 1)
+        Shards.push_back(Shard);
+    All.add({held("v1", Shards, 6)}, Bits & 64);
   }
   SnapshotMap Map;
   Map.rebuild(All.holders());
--- a/quarantine/quarantine_test.cpp
+++ b/quarantine/quarantine_test.cpp
@@ -136,7 +136,8 @@
   Crowd All;
   uint64_t Last = 0;
   int Lost = 0;
-  auto Steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 8));
+  auto Steps = *rc::gen::container<std::vector<int>>(
+      rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, 8)));
   auto EndCanary = [&](CanaryEnd End) {
     RequestId Id = All.Canaries.back();
     All.Canaries.pop_back();
@@ -220,6 +221,12 @@
     Good.add(Fingerprint(1000 + I));
     EXPECT_LE(Good.size(), 10u);
   }
+  // A fingerprint that moves to the younger generation is held once.
+  KnownGood Few(4);
+  for (uint64_t I = 1; I <= 3; ++I)
+    Few.add(Fingerprint(I));
+  EXPECT_TRUE(Few.contains(Fingerprint(1)));
+  EXPECT_EQ(Few.size(), 3u);
 }
 
 // Guards against answering a caller before the hosts know of the strike, and
