Settle a change of seats only after the last sub-requests

The previous seats alone knew how long to wait, and the record without them was written after a vote's lifetime. Change: the joint record is confirmed for a vote's lifetime and the sub-request limit before the previous seats are dropped.

--- a/ownership/ownership.cpp
+++ b/ownership/ownership.cpp
@@ -15,7 +15,7 @@
 
 Ownership::Ownership(OwnershipOptions Options, Random &Rand, MonotonicTime Now)
     : Options(std::move(Options)), Rand(Rand),
-      Seats(this->Options.Self, Rand, Now),
+      Seats(this->Options.Self, this->Options.SubRequestLimit, Rand, Now),
       Votes(this->Options.Self, this->Options.SubRequestLimit, Now),
       RenewAt(Now), AskPeersAt(Now) {}
 
@@ -46,6 +46,7 @@
 void Ownership::setSubRequestLimit(Duration Limit) {
   Options.SubRequestLimit = Limit;
   Votes.setSubRequestLimit(Limit);
+  Seats.setSubRequestLimit(Limit);
 }
 
 void Ownership::hostAlive(const HostId &Host, MonotonicTime Now) {
--- a/ownership/ownership_test.cpp
+++ b/ownership/ownership_test.cpp
@@ -17,6 +17,8 @@
   /// Of 1000 messages, how many are lost, and how many come up to 2 s late.
   uint64_t Lost = 0;
   uint64_t Late = 0;
+  /// Number of seats; few of them make majorities that just overlap.
+  size_t Seats = 5;
 };
 
 /// Hosts of one service with their own views of the members, a network and a
@@ -173,7 +175,7 @@
     with(I, [&](Ownership &O) {
       O.setHostSet(Live);
       O.setPartitions(Choices, Now, Out);
-      Live.resize(std::min<size_t>(Live.size(), 5));
+      Live.resize(std::min(Live.size(), Sky.Seats));
       O.setSeatCandidates(Live, Now);
     });
   }
@@ -329,7 +331,10 @@
 // faults; and against partitions that stay without an owner after them.
 RC_GTEST_PROP(Ownership, NeverTwoOwners, ()) {
   const auto Seed = *rc::gen::inRange<uint32_t>(0, 1'000'000'000);
-  Cluster C(Seed, {20, 20});
+  const auto Lost = *rc::gen::inRange<uint64_t>(0, 150);
+  const auto Late = *rc::gen::inRange<uint64_t>(0, 400);
+  const auto Seats = *rc::gen::element<size_t>(3, 5);
+  Cluster C(Seed, {Lost, Late, Seats});
   std::function<void()> Fault = [&] {
     if (C.Now.time_since_epoch() > Seconds(40))
       return;
@@ -338,7 +343,7 @@
   };
   C.after(Seconds(4), Fault);
   C.run(Seconds(45));
-  C.Sky = {};
+  C.Sky = {0, 0, Seats};
   C.run(Seconds(30));
   RC_ASSERT(C.TwoOwners == 0);
   RC_ASSERT(C.Overlaps == 0);
--- a/ownership/seat_keeper.cpp
+++ b/ownership/seat_keeper.cpp
@@ -15,9 +15,11 @@
 
 } // namespace
 
-SeatKeeper::SeatKeeper(HostId Self, Random &Rand, MonotonicTime Now)
-    : Self(std::move(Self)), Rand(Rand), Started(Now), CandidatesSince(Now),
-      Backoff(FirstBackoff), ReadDue(Now), CallDue(Now), EmptySince(Now) {}
+SeatKeeper::SeatKeeper(HostId Self, Duration SubRequestLimit, Random &Rand,
+                       MonotonicTime Now)
+    : Self(std::move(Self)), SubRequestLimit(SubRequestLimit), Rand(Rand),
+      Started(Now), CandidatesSince(Now), Backoff(FirstBackoff), ReadDue(Now),
+      CallDue(Now), EmptySince(Now) {}
 
 Duration SeatKeeper::jittered(Duration Base) {
   return Base + Duration(Rand.below(static_cast<uint64_t>(Base.count()) + 1));
@@ -74,7 +76,8 @@
 }
 
 bool SeatKeeper::isSettled(MonotonicTime Now) const {
-  return MajoritySince && Now - *MajoritySince >= VoteLifetime;
+  return MajoritySince &&
+         Now - *MajoritySince >= VoteLifetime + SubRequestLimit;
 }
 
 void SeatKeeper::setCandidates(std::vector<HostId> Hosts, MonotonicTime Now) {
--- a/ownership/seat_keeper.h
+++ b/ownership/seat_keeper.h
@@ -5,8 +5,10 @@
 // 2014) without a log. A change first writes the new seats with the old ones as
 // `previous`; while `previous` is not empty an owner needs both majorities. The
 // record is written again without `previous` only when a majority of both lists
-// has confirmed the joint version for a vote's lifetime without a break: by
-// then every lease that was won under the old seats alone has expired.
+// has confirmed the joint version without a break for a vote's lifetime and the
+// sub-request limit: by then every lease that was won under the old seats alone
+// has expired, and the last sub-requests under it have ended. Only the old
+// seats know how long a new owner has to wait for them.
 //
 // A restarted voter has forgotten which versions it has refused. It counts only
 // what other seats tell it after it has abstained for a vote's lifetime, and a
@@ -32,7 +34,8 @@
 class SeatKeeper {
 public:
   /// \p Rand must outlive the keeper.
-  SeatKeeper(HostId Self, Random &Rand, MonotonicTime Now);
+  SeatKeeper(HostId Self, Duration SubRequestLimit, Random &Rand,
+             MonotonicTime Now);
 
   const SeatRecord &record() const { return Record; }
   /// All hosts that vote under record().
@@ -55,6 +58,7 @@
     return Acknowledged.count(VoterHost) > 0;
   }
 
+  void setSubRequestLimit(Duration Limit) { SubRequestLimit = Limit; }
   /// The hosts that are to hold the seats, computed elsewhere.
   void setCandidates(std::vector<HostId> Hosts, MonotonicTime Now);
   /// Reads or changes the record if that is due. \p MayChange: this host is an
@@ -83,6 +87,7 @@
   Duration jittered(Duration Base);
 
   HostId Self;
+  Duration SubRequestLimit;
   Random &Rand;
   MonotonicTime Started;
   SeatRecord Record;
