--- a/dispatch/backend_gate_test.cpp
+++ b/dispatch/backend_gate_test.cpp
@@ -326,5 +326,73 @@
     RC_ASSERT(Count == 1U);
 }
 
+// Guards against a backend server that turns cold under full load and keeps its
+// old limit: announced, by its behaviour alone, and by a restart.
+TEST(BackendGate, ColdAgainUnderFullLoadLowersTheLimitAndRampsUp) {
+  for (int Way = 0; Way < 3; ++Way) {
+    World W(20261204, smallBackend());
+    W.every(Milliseconds(1), [&] {
+      W.submit(Milliseconds(100));
+      W.submit(Milliseconds(100));
+    });
+    W.run(Seconds(3));
+    ASSERT_EQ(W.Gate.limit(), 6U);
+    if (Way == 2)
+      W.kill(/*Hangs=*/true, Milliseconds(100));
+    else
+      W.turnCold(/*Announced=*/Way == 0);
+    uint32_t Lowest = 6;
+    W.every(Milliseconds(1),
+            [&] { Lowest = std::min(Lowest, W.Gate.limit()); });
+    W.run(Milliseconds(500));
+    EXPECT_LE(Lowest, 1U) << Way;
+    W.run(Seconds(12));
+    EXPECT_EQ(W.Gate.limit(), 6U) << Way;
+    EXPECT_EQ(W.OverLimit, 0) << Way;
+  }
+}
+
+// Guards against goodput that collapses under overload, refusals that come late
+// and batch that starves: 3 times the slots, 6 slots at 4 ms on average.
+TEST(BackendGate, OverloadKeepsGoodputAndRefusesEarly) {
+  World W(20261204, smallBackend());
+  uint64_t Batch = 0;
+  std::map<uint64_t, MonotonicTime> Submitted;
+  W.every(Duration(2000), [&] {
+    for (int I = 0; I < 9; ++I)
+      Submitted[W.submit(Milliseconds(100))] = W.Now;
+    if (W.LastRequest % 4 == 0)
+      W.submit(Milliseconds(1000), SubRequestClass::Batch);
+  });
+  W.run(Seconds(2));
+  uint64_t Before = W.Gate.counters().Answered;
+  size_t FirstReply = W.Replies.size();
+  W.run(Seconds(10));
+  // 6 slots serve 1,500 a second less the way there and back (0.6 ms of 4.6).
+  EXPECT_GE(W.Gate.counters().Answered - Before, 13'043U * 9 / 10);
+  EXPECT_LE(W.Gate.counters().Lost * 100, W.Gate.counters().Sent);
+  for (size_t I = FirstReply; I < W.Replies.size(); ++I)
+    Batch += W.Replies[I].Outcome == DispatchOutcome::Answered &&
+             Submitted.count(W.Replies[I].To.Id.number()) == 0;
+  EXPECT_GE(Batch, 13'043U * 5 / 100 * 9 / 10);
+}
+
+// Guards against silent connections that keep slots or sub-requests for long.
+TEST(BackendGate, SilentConnectionIsRetiredAndReplaced) {
+  World W(20261204, smallBackend());
+  W.every(Milliseconds(1), [&] { W.submit(Milliseconds(300)); });
+  W.run(Seconds(3));
+  for (int I = 0; I < 3; ++I)
+    W.silenceOne();
+  W.run(Milliseconds(100));
+  EXPECT_GE(W.Gate.counters().RetiredConnections, 1U);
+  EXPECT_EQ(W.Gate.counters().Resets, 0U);
+  W.run(Seconds(2));
+  EXPECT_EQ(W.Gate.limit(), 6U);
+  EXPECT_EQ(W.Gate.inHand() <= 6U, true);
+  EXPECT_LE(W.MostConnections, 12U);
+  EXPECT_LE(W.Gate.counters().Lost, 3U);
+}
+
 } // namespace
 } // namespace mimosa
