Refuse early what could not start in time

Cause: under 3 times the slots, 1,467 of 32,619 refusals came later than 10 ms, after the sub-request had been queued. Change: the predicted wait is taken 1/8 longer before a sub-request is queued and 1/8 shorter afterwards.

--- a/dispatch/backend_gate.cpp
+++ b/dispatch/backend_gate.cpp
@@ -8,6 +8,10 @@
 /// Room for service times above the mean: a sub-request that starts with less
 /// time than this many mean service times left would hold a slot in vain.
 constexpr int ServiceMargin = 2;
+/// Error of the predicted wait, 1/8: the mean of 64 service times varies by
+/// some percent. It is added before a sub-request is queued and taken off
+/// afterwards, so that few are queued first and refused late.
+constexpr int PredictionDivisor = 8;
 /// Batch gets at least one start in 20 (5%).
 constexpr uint32_t BatchShareDivisor = 20;
 /// Share of the sub-request limit that is left for the way to the backend
@@ -82,11 +86,19 @@
 
 bool BackendGate::startsInTime(const SubRequest &Request, uint32_t Position,
                                MonotonicTime Now) const {
+  Duration Wait = predictedWait(Request.Class, Position);
   Duration Needed =
-      predictedWait(Request.Class, Position) + Limit.mean() * ServiceMargin;
+      Wait + Wait / PredictionDivisor + Limit.mean() * ServiceMargin;
   return Now + Needed <= Request.Deadline;
 }
 
+bool BackendGate::isHopeless(const SubRequest &Request, uint32_t Position,
+                             MonotonicTime Now) const {
+  Duration Wait = predictedWait(Request.Class, Position);
+  Duration Needed = Wait - Wait / PredictionDivisor + Limit.mean();
+  return Now + Needed > Request.Deadline;
+}
+
 void BackendGate::submit(SubRequest Request, MonotonicTime Now,
                          DispatchActions &Out) {
   RefusalReason Reason = standingRefusal(Now);
@@ -176,7 +188,7 @@
       Next = Works[I].Next;
       if (Works[I].Request.Deadline <= Now)
         refuseQueued(I, RefusalReason::Deadline, Out);
-      else if (!startsInTime(Works[I].Request, Position, Now))
+      else if (isHopeless(Works[I].Request, Position, Now))
         refuseQueued(I, RefusalReason::Overloaded, Out);
       else
         ++Position;
--- a/dispatch/backend_gate.h
+++ b/dispatch/backend_gate.h
@@ -143,6 +143,8 @@
   Duration predictedWait(SubRequestClass Class, uint32_t Position) const;
   bool startsInTime(const SubRequest &Request, uint32_t Position,
                     MonotonicTime Now) const;
+  bool isHopeless(const SubRequest &Request, uint32_t Position,
+                  MonotonicTime Now) const;
   void pump(MonotonicTime Now, DispatchActions &Out);
   void pumpSearches(MonotonicTime Now, DispatchActions &Out);
   void sendSearch(Connection &C, WorkIndex Index, MonotonicTime Now,
--- a/dispatch/backend_gate_test.cpp
+++ b/dispatch/backend_gate_test.cpp
@@ -126,6 +126,7 @@
 
   std::map<uint64_t, int> Open;
   std::vector<Reply> Replies;
+  std::vector<MonotonicTime> ReplyTimes;
   std::map<uint64_t, uint64_t> SentKeys;
   uint64_t LastRequest = 0;
   int OverLimit = 0;
@@ -258,6 +259,7 @@
   void act(Reply &A) {
     ++Open[A.To.Id.number()];
     Replies.push_back(A);
+    ReplyTimes.push_back(Now);
   }
   void act(SummaryChanged &) {}
 
@@ -374,6 +376,18 @@
   for (size_t I = FirstReply; I < W.Replies.size(); ++I)
     Batch += W.Replies[I].Outcome == DispatchOutcome::Answered &&
              Submitted.count(W.Replies[I].To.Id.number()) == 0;
+  size_t Refused = 0;
+  size_t Late = 0;
+  for (size_t I = FirstReply; I < W.Replies.size(); ++I) {
+    auto Sent = Submitted.find(W.Replies[I].To.Id.number());
+    if (W.Replies[I].Outcome != DispatchOutcome::NotRun ||
+        Sent == Submitted.end())
+      continue;
+    ++Refused;
+    Late += W.ReplyTimes[I] - Sent->second > Milliseconds(10);
+  }
+  EXPECT_GT(Refused, 20'000U);
+  EXPECT_EQ(Late, 0U);
   EXPECT_GE(Batch, 13'043U * 5 / 100 * 9 / 10);
 }
 
