--- a/claim/claim_owner_test.cpp
+++ b/claim/claim_owner_test.cpp
@@ -90,6 +90,30 @@
   EXPECT_EQ(World.Store.swaps(), 1u);
 }
 
+// Guards against not_run for an attempt while another one with its key may yet
+// be granted.
+TEST(ClaimOwner, RefusesOnlyAKeyWithoutAnotherAttempt) {
+  const ServiceId Service("storm");
+  MonotonicTime Now(Seconds(1));
+  CallBudget Budget({100, 100, 8, 8});
+  ClaimOwner Owner(Service, HostId("h0"), Incarnation(1), Budget, {});
+  Owner.start(Now);
+  Owner.onListed(1, Result<std::vector<StoredEntry>>(), Now);
+  auto Ask = [&](const char *Key, uint64_t Ticket) {
+    ClaimNonce Nonce{HostId("h1"), Incarnation(1), RequestId(Ticket)};
+    return Owner.onRequest(
+        {Service, RequestKey(Key), Nonce, Milliseconds(50 * Ticket)}, Now);
+  };
+  ASSERT_EQ(Ask("k", 20).size(), 1u); // The write that stays in flight.
+  EXPECT_TRUE(Ask("k", 1).empty());
+  EXPECT_TRUE(Ask("other", 2).empty());
+  std::vector<ClaimVerdict> Verdicts;
+  for (ClaimOwnerAction &Action : Owner.onTick(Now + Milliseconds(200)))
+    Verdicts.push_back(std::get<SendClaimReply>(Action).Reply.Verdict);
+  EXPECT_EQ(Verdicts, (std::vector<ClaimVerdict>{ClaimVerdict::Unavailable,
+                                                 ClaimVerdict::Refused}));
+}
+
 // Guards against a second grant after the owner crashed between the write and
 // its reply: the same nonce gets its grant from the new owner, another attempt
 // with the key gets none.
@@ -132,6 +156,24 @@
   EXPECT_EQ(World.decision(Second).Kind, Kind::AlreadyClaimed);
 }
 
+// Guards against a key that stays claimed by an attempt whose root gave up
+// before the grant arrived.
+TEST(ClaimClient, ReleasesALateGrant) {
+  ClaimWorld World(3);
+  World.startOwner(0);
+  World.run(Milliseconds(100));
+  auto First = World.request(1, "k", Milliseconds(100));
+  World.advance(Milliseconds(150));
+  ASSERT_EQ(World.messages(), 2u);
+  World.drop(1); // The release that was sent at the deadline.
+  World.run(Seconds(1));
+  EXPECT_EQ(World.decision(First).Kind, Kind::Unknown);
+  EXPECT_EQ(World.client(1).lateGrants(), 1u);
+  auto Second = World.request(2, "k", Seconds(1));
+  World.run(Seconds(1));
+  EXPECT_EQ(World.decision(Second).Kind, Kind::Granted);
+}
+
 // Guards against a second run after the root crashed, a lost outcome, and a
 // key that stays claimed after its release.
 TEST(ClaimOwner, EndOfTheFirstRequestDecidesTheSecond) {
@@ -241,6 +283,8 @@
   Releases.Claimed = {{Key, Second}};
   ASSERT_TRUE(Log.append(10, Releases));
   EXPECT_EQ(Log.find(Key)->Nonce, Second);
+  Log.dropOldest();
+  EXPECT_EQ(Log.size(), 1u);
 }
 
 // Guards against answers that fill the memory.
