Add host sets, partitions, seats and address answers

Cause: every host must work out the same hosts for a service from the same view, without asking anyone (design page, 4.1 and 4.2), and callers need addresses of hosts that are fit to serve them.

Change: placement/ assigns host sets by rendezvous hashing with bounded load and an even spread over availability zones; Placement keeps them for the current view and configuration and gives partitions, the order of owners, seat candidates and address answers.

Decisions where the design page is silent: "live hosts" in the formula of K are the candidates of the region; where the load bound and the even spread cannot both be had, the load bound wins; a suspect stays in host sets, is last as owner and seat, and is not handed out to callers unless all hosts of the set are suspect; a zone that the configuration does not name counts as in; the first address is in the caller's zone unless that zone has fewer hosts than its share, so that every host is first equally often; an answer has at most 8 addresses; a caller whose region has no host gets hosts of another one.

--- /dev/null
+++ b/placement/address_answer.cpp
@@ -0,0 +1,90 @@
+#include "placement/address_answer.h"
+
+#include "base/result.h"
+
+#include <algorithm>
+#include <map>
+
+namespace mimosa {
+
+namespace {
+
+using ZoneCounts = std::map<AvailabilityZoneId, size_t>;
+
+ZoneCounts countZones(const std::vector<CallerAddress> &Usable) {
+  ZoneCounts Counts;
+  for (const CallerAddress &Each : Usable)
+    ++Counts[Each.Zone];
+  return Counts;
+}
+
+void shuffleAddresses(std::vector<CallerAddress> &Usable, Random &Choices) {
+  for (size_t I = 0; I + 1 < Usable.size(); ++I)
+    std::swap(Usable[I], Usable[I + Choices.below(Usable.size() - I)]);
+}
+
+/// The zone of the first address. In units of 1 / (hosts x zones) of all
+/// callers, a zone's callers are Hosts and its hosts can take Count x Zones.
+AvailabilityZoneId firstZone(const ZoneCounts &Counts, size_t Hosts,
+                             const AvailabilityZoneId &CallerZone,
+                             Random &Choices) {
+  size_t Zones = Counts.size();
+  size_t Own = Counts.at(CallerZone) * Zones;
+  size_t Draw = Choices.below(Hosts);
+  if (Draw < Own)
+    return CallerZone;
+  size_t Surplus = 0;
+  for (const auto &[Zone, Count] : Counts)
+    Surplus += Count * Zones - std::min(Count * Zones, Hosts);
+  size_t Place = Choices.below(Surplus);
+  for (const auto &[Zone, Count] : Counts) {
+    size_t Extra = Count * Zones - std::min(Count * Zones, Hosts);
+    if (Place < Extra)
+      return Zone;
+    Place -= Extra;
+  }
+  return CallerZone;
+}
+
+/// Moves the addresses of \p Zone to the front of [\p From, end).
+size_t moveToFront(std::vector<CallerAddress> &Usable, size_t From,
+                   const AvailabilityZoneId &Zone) {
+  auto Begin = Usable.begin() + static_cast<std::ptrdiff_t>(From);
+  auto End = std::stable_partition(
+      Begin, Usable.end(),
+      [&](const CallerAddress &Each) { return Each.Zone == Zone; });
+  return static_cast<size_t>(End - Usable.begin());
+}
+
+} // namespace
+
+std::vector<CallerAddress> orderForCaller(std::vector<CallerAddress> Usable,
+                                          const AvailabilityZoneId &CallerZone,
+                                          Random &Choices) {
+  shuffleAddresses(Usable, Choices);
+  ZoneCounts Counts = countZones(Usable);
+  if (Counts.count(CallerZone) > 0) {
+    AvailabilityZoneId First =
+        firstZone(Counts, Usable.size(), CallerZone, Choices);
+    moveToFront(Usable, 0, First);
+    moveToFront(Usable, First == CallerZone ? 0 : 1, CallerZone);
+  }
+  if (Usable.size() > MaxAddresses)
+    Usable.resize(MaxAddresses);
+  return Usable;
+}
+
+Json addressAnswerJson(const AddressAnswer &Answer) {
+  Json Addresses = Json::array();
+  for (const CallerAddress &Each : Answer.Addresses)
+    Addresses.push_back(
+        {{"address", Each.Address}, {"zone", Each.Zone.text()}});
+  return {{"result",
+           {{"code", static_cast<int>(ResultCode::Ok)},
+            {"name", resultCodeName(ResultCode::Ok)}}},
+          {"addresses", std::move(Addresses)},
+          {"lifetime_ms", inMilliseconds(Answer.Lifetime)},
+          {"revision", Answer.ConfigRevision.number()}};
+}
+
+} // namespace mimosa
--- /dev/null
+++ b/placement/module.cmake
@@ -0,0 +1,1 @@
+mimosa_module(placement mimosa_config mimosa_membership)
--- /dev/null
+++ b/placement/placement.h
@@ -0,0 +1,118 @@
+// Where work belongs, worked out from the membership view and the configuration
+// (docs/design.md, 4.1 and 4.2): the host set of each service and region, the
+// partitions of a service's backend servers, their preferred owners, the hosts
+// fit for seats, and the addresses for callers. Equal views give equal results.
+//
+//   Placement Placed(OwnRegion);
+//   Placed.update(Members.members(), Holder.config()); // when either changes
+//   const HostSet *Set = Placed.hostSet(Service, Region);
+//   auto Where = Placed.partitionOf(Service, Backend);
+//   auto Owner = Placed.preferredOwner(*Where);
+//
+// Host sets are worked out again only when the hosts that can be in one or the
+// configuration have changed. A suspect host stays in its sets, because most
+// suspicions are refuted, but callers are not sent to it.
+
+#ifndef MIMOSA_PLACEMENT_PLACEMENT_H
+#define MIMOSA_PLACEMENT_PLACEMENT_H
+
+#include "base/result.h"
+#include "config/config.h"
+#include "membership/messages.h"
+#include "placement/address_answer.h"
+#include "placement/host_set.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace mimosa {
+
+/// A part of a service's backend servers that has one owner.
+struct PartitionId {
+  ServiceId Service;
+  RegionId Region;
+  /// Below the size of the host set.
+  uint32_t Index = 0;
+
+  friend bool operator==(const PartitionId &A, const PartitionId &B) {
+    return A.Service == B.Service && A.Region == B.Region && A.Index == B.Index;
+  }
+  friend bool operator<(const PartitionId &A, const PartitionId &B) {
+    return std::tie(A.Service, A.Region, A.Index) <
+           std::tie(B.Service, B.Region, B.Index);
+  }
+};
+
+/// Host sets and what follows from them.
+class Placement {
+public:
+  /// \p OwnRegion is used for callers whose zone is not known.
+  explicit Placement(RegionId OwnRegion) : OwnRegion(std::move(OwnRegion)) {}
+
+  /// Takes over the members that are not dead and the configuration. True if
+  /// a host set may have changed.
+  bool update(const std::vector<Member> &Members,
+              std::shared_ptr<const Config> Document);
+
+  /// The host set of \p Service in \p Region, null if either is unknown.
+  const HostSet *hostSet(const ServiceId &Service,
+                         const RegionId &Region) const;
+
+  /// True if \p Host is in the host set of \p Service in \p Region.
+  bool isInHostSet(const ServiceId &Service, const RegionId &Region,
+                   const HostId &Host) const;
+
+  /// The partition of \p Backend, which belongs to \p Service; nothing if its
+  /// region has no host for the service.
+  std::optional<PartitionId> partitionOf(const ServiceId &Service,
+                                         const BackendServer &Backend) const;
+
+  /// The hosts of the set in the order in which they are to own \p Partition:
+  /// by falling rendezvous weight, suspect hosts last.
+  std::vector<HostId> ownerOrder(const PartitionId &Partition) const;
+
+  /// The first of ownerOrder(), nothing if there is no host.
+  std::optional<HostId> preferredOwner(const PartitionId &Partition) const;
+
+  /// The hosts that are to hold the service's seats: 5, or 3 or 1 for smaller
+  /// sets, in different availability zones as far as possible, suspect hosts
+  /// last.
+  std::vector<HostId> seatCandidates(const ServiceId &Service,
+                                     const RegionId &Region) const;
+
+  /// Addresses for a caller in \p CallerZone, which may be empty. Fails with
+  /// UnknownService, and with NotFound if no host can be named.
+  Result<AddressAnswer> addresses(const ServiceId &Service,
+                                  const AvailabilityZoneId &CallerZone,
+                                  Random &Choices) const;
+
+  /// How often the host sets were worked out.
+  uint64_t recomputations() const { return Recomputations; }
+
+private:
+  struct KnownHost {
+    std::string CallerAddress;
+    bool Suspect = false;
+  };
+  using HostsOfRegions = std::map<RegionId, std::vector<PlacedHost>>;
+
+  HostsOfRegions placeable(const std::vector<Member> &Members) const;
+  void computeRegion(const RegionId &Region,
+                     const std::vector<PlacedHost> &Hosts);
+  std::vector<PlacedHost> suspectsLast(std::vector<PlacedHost> Ranked) const;
+  std::vector<CallerAddress> usable(const HostSet &Set) const;
+  std::vector<RegionId> regionsFor(const AvailabilityZoneId &CallerZone) const;
+
+  RegionId OwnRegion;
+  std::shared_ptr<const Config> Document = std::make_shared<const Config>();
+  HostsOfRegions Hosts;
+  std::map<HostId, KnownHost> Known;
+  std::map<RegionId, std::map<ServiceId, HostSet>> Sets;
+  uint64_t Recomputations = 0;
+};
+
+} // namespace mimosa
+
+#endif // MIMOSA_PLACEMENT_PLACEMENT_H
