Test that a search which outlasts its connection holds its slot

Cause: a trial without the held slot passed all tests, as no search in the fake outlasted its connection.

--- a/dispatch/backend_gate_test.cpp
+++ b/dispatch/backend_gate_test.cpp
@@ -283,6 +283,8 @@
     return W.silenceOne();
   case 4:
     W.Drains = !W.Drains;
+    // A search that outlasts its connection still holds a slot.
+    W.Slowness = W.Rand.below(2) == 0 ? 1 : 60;
     return;
   case 5:
     W.Permission.Allowed = !W.Permission.Allowed;
