Test planned stops and changes of seats

Cause: hand-over on a planned stop and seat changes with a store that is down or loses replies were covered by the random runs only. Change: two tests. Figures: a leaving host owns nothing after the sub-request limit and 100 ms; a seat change takes 2 writes also after lost replies, and none while the store is down.

--- a/ownership/ownership_test.cpp
+++ b/ownership/ownership_test.cpp
@@ -371,5 +371,49 @@
   RC_ASSERT(C.TwoOwners == 0);
 }
 
+// Guards against a planned stop that leaves partitions without an owner for
+// longer than the running sub-requests (at most RunLimit) and a round of votes.
+TEST(Ownership, LeavingHandsOverAfterTheSubRequestsHaveEnded) {
+  Cluster C(20261204, {});
+  C.run(Seconds(12));
+  int Owner = C.ownerOf(0);
+  C.leave(Owner);
+  C.run(RunLimit + Milliseconds(100));
+  EXPECT_TRUE(C.at(Owner).ownsNothing());
+  EXPECT_TRUE(C.allOwned());
+  EXPECT_EQ(C.TwoOwners + C.Overlaps, 0);
+}
+
+// Guards against seats that change without the store, a change that is made
+// twice after a lost reply, and a joint record that is never ended.
+TEST(Ownership, SeatsChangeOnlyThroughTheStoreAndInTwoSteps) {
+  enum class Store { Works, Down, LosesReplies };
+  for (Store Way : {Store::Works, Store::Down, Store::LosesReplies}) {
+    Cluster C(20261204, {});
+    C.run(Seconds(15));
+    ASSERT_TRUE(C.Stored.has_value());
+    ASSERT_TRUE(C.Stored->Previous.empty());
+    SeatRecord Before = *C.Stored;
+    int Writes = C.StoreWrites;
+    C.StoreDown = Way == Store::Down;
+    C.StoreLosesReplies = Way == Store::LosesReplies;
+    C.crash(0);
+    C.run(Seconds(12));
+    EXPECT_TRUE(C.allOwned());
+    if (Way == Store::Down) {
+      EXPECT_EQ(C.Stored->Version, Before.Version);
+    }
+    C.StoreDown = false;
+    C.StoreLosesReplies = false;
+    C.run(Seconds(60));
+    std::set<HostId> Seats = votersOf(*C.Stored);
+    EXPECT_EQ(Seats.count(Cluster::name(0)), 0U);
+    EXPECT_EQ(Seats.size(), 5U);
+    EXPECT_TRUE(C.Stored->Previous.empty());
+    EXPECT_EQ(C.StoreWrites - Writes, 2);
+    EXPECT_EQ(C.TwoOwners + C.Overlaps, 0);
+  }
+}
+
 } // namespace
 } // namespace mimosa
