Join admission, quarantine, claims and abandonment to the way of a query

Cause: queries ran without queue limits, canaries or claims. Change: QueryService leads a query through admission, quarantine and claim; ClaimDriver and StrikeDriver carry the frames; the loss of a backend server is told apart from the loss of a connection; POST /v1/cancel; metrics by service and class and of callers who gave up.

--- a/claim/messages.h
+++ b/claim/messages.h
@@ -91,8 +91,10 @@
   /// Set with AlreadyClaimed if Outcome is known.
   bool OutcomeKnown = false;
   ClaimOutcome Outcome;
+  /// The claim owner; set when the reply is sent.
+  HostId Sender;
   MSGPACK_DEFINE_MAP(Service, Nonce, Verdict, Code, MayBeRecorded, OutcomeKnown,
-                     Outcome);
+                     Outcome, Sender);
 };
 
 struct ClaimSettlement {
--- a/daemon/caller_api.cpp
+++ b/daemon/caller_api.cpp
@@ -30,6 +30,8 @@
   std::string_view Path = Request.path();
   if (Path == "/v1/query" && Request.Method == "POST")
     return query(Request, Caller);
+  if (Path == "/v1/cancel" && Request.Method == "POST")
+    return cancel(Request);
   if (Path == "/v1/addresses")
     return addresses(Request);
   if (std::optional<HttpResponse> Answer = Operators.handle(Request))
@@ -53,7 +55,7 @@
                         std::to_string(Host.configs().revision().number())});
   if (!Service->isServedHere() && !Host.leaving())
     return queryElsewhere(Request, Query, *Service, Caller);
-  QueryAnswer Answer = Host.query(Query, Caller);
+  QueryAnswer Answer = Host.queries().run(Query, *Service, Caller);
   return {httpStatusOf(Answer.Code), "application/json", answerJson(Answer)};
 }
 
@@ -88,6 +90,22 @@
                  Sent ? Execution::Unknown : Execution::NotRun);
 }
 
+HttpResponse CallerApi::cancel(const HttpRequest &Request) {
+  Result<Json> Body = parseJson(Request.Body);
+  if (!ok(Body))
+    return errorAnswer(errorOf(Body));
+  JsonFields Fields(valueOf(Body), "cancel");
+  CallerId Caller(Fields.text("caller"));
+  RequestKey Key(Fields.text("request_key"));
+  if (Fields.failed())
+    return errorAnswer(Fields.error());
+  size_t Ended = Host.queries().cancel(Caller, Key);
+  if (Ended == 0)
+    return errorAnswer({ResultCode::NotFound,
+                        "no query of this caller with this key runs here"});
+  return {200, "application/json", errorBody({ResultCode::Ok, ""})};
+}
+
 HttpResponse CallerApi::addresses(const HttpRequest &Request) {
   Result<AddressAnswer> Answer = Host.placement().addresses(
       ServiceId(parameter(Request, "service")),
--- a/daemon/caller_api.h
+++ b/daemon/caller_api.h
@@ -26,6 +26,7 @@
   HttpResponse queryElsewhere(const HttpRequest &Request,
                               const QueryRequest &Parsed, ServiceNode &Node,
                               const std::shared_ptr<CallerSignals> &Caller);
+  HttpResponse cancel(const HttpRequest &Request);
   HttpResponse addresses(const HttpRequest &Request);
   std::vector<std::string> addressesOf(const ServiceNode &Node);
 
--- a/daemon/node.cpp
+++ b/daemon/node.cpp
@@ -3,6 +3,7 @@
 #include "daemon/messages.h"
 #include "runtime/log.h"
 
+#include <algorithm>
 #include <random>
 
 namespace mimosa {
@@ -47,7 +48,7 @@
       Listener(Loop, Options.PeerAddress.text(), *this, Traffic),
       Members(Context, *this),
       Configs(Context, Store, [this] { configChanged(); }),
-      Placed(Options.Region), Queries(Context), Forwards(Loop) {}
+      Placed(Options.Region), Queries(Context, Store), Forwards(Loop) {}
 
 Node::~Node() = default;
 
@@ -57,7 +58,8 @@
     return Listening;
   Peers.onLoss([this](const HostId &Host, PeerClient::Loss How) {
     Members.hostUnreachable(Host);
-    Queries.onOwnerLost(Host, How);
+    Queries.runner().onOwnerLost(Host, How);
+    Queries.claims().hostUnreachable(Host);
   });
   registerGauges();
   Configs.start();
@@ -94,7 +96,7 @@
   MonotonicTime Served = Start + Options.AddressLifetime + LeaveSpread;
   MonotonicTime Limit = Served + Options.DrainLimit;
   auto Busy = [this] {
-    if (Queries.running() > 0)
+    if (Queries.inProgress() > 0)
       return true;
     for (auto &[Name, Service] : Services)
       if (!Service->ownsNothing())
@@ -104,7 +106,7 @@
   while (Context.Loop.now() < Served || (Busy() && Context.Loop.now() < Limit))
     FiberLoop::sleepFor(DrainPoll);
   logInfo("node",
-          "left with " + std::to_string(Queries.running()) +
+          "left with " + std::to_string(Queries.inProgress()) +
               " queries in flight after " +
               std::to_string(inMilliseconds(Context.Loop.now() - Start)) +
               " ms");
@@ -126,6 +128,7 @@
 void Node::pauseDetected(Duration) {
   for (auto &[Name, Service] : Services)
     Service->paused();
+  Queries.claims().paused();
 }
 
 void Node::revisionAnnounced(const HostId &Peer, Revision Announced) {
@@ -156,6 +159,8 @@
   Configs.setZoneHosts(ZoneHosts);
   std::vector<HostId> Alive = aliveHosts();
   const Config &Document = *Configs.config();
+  Queries.configure(Document);
+  Queries.claims().setDaemonCount(Present.size());
   if (SetsChanged)
     for (const Service &One : Document.Services)
       configureService(One, Document);
@@ -164,6 +169,17 @@
     if (!Document.service(Name))
       Service->retire();
   }
+  updateClaimOwners(Alive);
+}
+
+void Node::updateClaimOwners(const std::vector<HostId> &Alive) {
+  for (auto &[Name, Service] : Services) {
+    std::vector<HostId> Live;
+    for (const HostId &Host : Service->hosts())
+      if (std::find(Alive.begin(), Alive.end(), Host) != Alive.end())
+        Live.push_back(Host);
+    Queries.claims().setHosts(Name, Live);
+  }
 }
 
 void Node::configureService(const Service &One, const Config &Document) {
@@ -189,7 +205,7 @@
 
 void Node::subRequestEnded(const ServiceId &Service, Reply Message) {
   if (Message.To.Root == Context.Self.Host) {
-    Queries.onLocalReply(std::move(Message));
+    Queries.runner().onLocalReply(std::move(Message));
     return;
   }
   HostId Root = Message.To.Root;
@@ -214,14 +230,14 @@
     return true;
   case MessageType::DispatchReply:
     if (auto Message = unpackBody<DispatchReply>(Frame.Body); ok(Message))
-      Queries.onReply(valueOf(std::move(Message)));
+      Queries.runner().onReply(valueOf(std::move(Message)));
     return true;
   case MessageType::DispatchCancel:
     if (auto Message = unpackBody<DispatchCancel>(Frame.Body); ok(Message))
       dispatchCancelled(valueOf(Message));
     return true;
   default:
-    return Members.handleFrame(Frame);
+    return Members.handleFrame(Frame) || Queries.handleFrame(Frame, Reply);
   }
 }
 
@@ -284,16 +300,4 @@
                   {Message.Root, Message.RootIncarnation, Item.Id});
 }
 
-QueryAnswer Node::query(const QueryRequest &Request,
-                        const std::shared_ptr<CallerSignals> &Caller) {
-  ServiceNode &Served = *service(Request.Service);
-  QuerySessionOptions Session;
-  Session.Received = Context.Loop.now();
-  Session.Deadline = Session.Received + Request.Deadline.value_or(
-                                            Served.settings().DefaultDeadline);
-  Session.Idempotent = Request.Idempotent;
-  Session.Limit = Request.Limit;
-  return Queries.run(Request, Served, Session, Caller);
-}
-
 } // namespace mimosa
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -8,7 +8,7 @@
 #include "daemon/membership_driver.h"
 #include "daemon/options.h"
 #include "daemon/query_forwarder.h"
-#include "daemon/query_runner.h"
+#include "daemon/query_service.h"
 #include "placement/placement.h"
 #include "platform/http_key_value_store.h"
 
@@ -26,8 +26,6 @@
   void shutDown();
   bool leaving() const { return Leaving; }
 
-  QueryAnswer query(const QueryRequest &Request,
-                    const std::shared_ptr<CallerSignals> &Caller);
   /// The service, null if it is not in the configuration.
   ServiceNode *service(const ServiceId &Name);
 
@@ -36,9 +34,12 @@
   ConfigDriver &configs() { return Configs; }
   Membership &members() { return Members.members(); }
   const Placement &placement() const { return Placed; }
+  QueryService &queries() { return Queries; }
   QueryForwarder &forwarder() { return Forwards; }
   /// Values for /v1/status.
   Json status();
+  /// The metrics page in Prometheus text.
+  std::string renderMetrics();
 
 private:
   void memberChanged(const MemberChanged &Change) override;
@@ -56,7 +57,9 @@
   void configureService(const Service &One, const Config &Document);
   std::vector<HostId> aliveHosts();
   void refreshSeeds();
+  void updateClaimOwners(const std::vector<HostId> &Alive);
   void registerGauges();
+  void registerQueryGauges();
 
   DaemonOptions Options;
   SeededRandom Rand;
@@ -69,7 +72,7 @@
   MembershipDriver Members;
   ConfigDriver Configs;
   Placement Placed;
-  QueryRunner Queries;
+  QueryService Queries;
   QueryForwarder Forwards;
   std::unordered_map<ServiceId, std::unique_ptr<ServiceNode>> Services;
   bool PlacementDirty = false;
--- a/daemon/node_status.cpp
+++ b/daemon/node_status.cpp
@@ -18,6 +18,12 @@
   return "unknown";
 }
 
+std::string bucketEdge(const WaitedBucket &Bucket) {
+  if (Bucket.UpTo == Duration::max())
+    return "+Inf";
+  return std::to_string(inSeconds(Bucket.UpTo));
+}
+
 Json serviceStatus(ServiceNode &Node) {
   Json Backends = Json::array();
   for (const BackendServerStatus &One : Node.directory().status())
@@ -62,7 +68,7 @@
           {"incarnation", Context.Self.Life.number()},
           {"state", Leaving ? "leaving" : "serving"},
           {"revision", Configs.revision().number()},
-          {"queries_running", Queries.running()},
+          {"queries_running", Queries.inProgress()},
           {"hosts", Hosts},
           {"services", ByService}};
 }
@@ -74,7 +80,7 @@
   Gauge("mimosa_config_revision", {},
         [this] { return Configs.revision().number(); });
   Gauge("mimosa_members", {}, [this] { return members().members().size(); });
-  Gauge("mimosa_queries_running", {}, [this] { return Queries.running(); });
+  Gauge("mimosa_queries_running", {}, [this] { return Queries.inProgress(); });
   const StoreCallCounts &Calls = Store.counts();
   Gauge("mimosa_store_calls_total", {{"kind", "read"}},
         [&Calls] { return Calls.Reads; });
@@ -110,8 +116,14 @@
         [this] { return Traffic.UnknownTypes; });
   Gauge("mimosa_peer_bad_frames_total", {},
         [this] { return Traffic.BadFrames; });
+  registerQueryGauges();
+}
+
+void Node::registerQueryGauges() {
   auto Query = [&](const char *Name, uint64_t QueryCounters::*Field) {
-    Gauge(Name, {}, [this, Field] { return Queries.counters().*Field; });
+    Metrics.gauge(Name, {}, [this, Field] {
+      return static_cast<double>(Queries.runner().counters().*Field);
+    });
   };
   Query("mimosa_sub_requests_total", &QueryCounters::SubRequests);
   Query("mimosa_hedges_total", &QueryCounters::Hedges);
@@ -123,6 +135,41 @@
   Query("mimosa_replies_dropped_late_total", &QueryCounters::DroppedLate);
   Query("mimosa_replies_dropped_wrong_snapshot_total",
         &QueryCounters::DroppedWrongSnapshot);
+  auto Gauge = [this](const char *Name, auto Read) {
+    Metrics.gauge(Name, {}, [Read] { return static_cast<double>(Read()); });
+  };
+  Gauge("mimosa_admission_limit",
+        [this] { return Queries.admission().concurrencyLimit(); });
+  Gauge("mimosa_admission_waiting", [this] {
+    return Queries.admission().waiting(RequestClass::Interactive) +
+           Queries.admission().waiting(RequestClass::Batch);
+  });
+  Gauge("mimosa_quarantine_refused_total",
+        [this] { return Queries.quarantine().counters().Refused; });
+  Gauge("mimosa_quarantine_strikes_total", [this] {
+    return Queries.quarantine().counters().OwnStrikes +
+           Queries.quarantine().counters().PeerStrikes;
+  });
+  Gauge("mimosa_queries_forwarded_total",
+        [this] { return Forwards.forwarded(); });
+}
+
+std::string Node::renderMetrics() {
+  std::string Out = Metrics.render();
+  const char *Name = "mimosa_callers_gave_up_seconds";
+  Out += std::string("# TYPE ") + Name + " histogram\n";
+  for (const AbandonmentRow &Row : Queries.abandoned().rows()) {
+    std::string L = "service=\"" + Row.Service.text() + "\",class=\"" +
+                    requestClassName(Row.Class) + "\",kind=\"" +
+                    abandonmentKindName(Row.Kind) + "\"";
+    for (const WaitedBucket &Bucket : Row.Waited)
+      Out += std::string(Name) + "_bucket{" + L + ",le=\"" +
+             bucketEdge(Bucket) + "\"} " + std::to_string(Bucket.Cumulative) +
+             "\n";
+    Out += std::string(Name) + "_count{" + L + "} " +
+           std::to_string(Row.Count) + "\n";
+  }
+  return Out;
 }
 
 } // namespace mimosa
--- a/daemon/operator_api.cpp
+++ b/daemon/operator_api.cpp
@@ -82,8 +82,7 @@
 std::optional<HttpResponse> OperatorApi::handle(const HttpRequest &Request) {
   std::string_view Path = Request.path();
   if (Path == "/metrics")
-    return HttpResponse{200, "text/plain; version=0.0.4",
-                        Host.context().Metrics.render()};
+    return HttpResponse{200, "text/plain; version=0.0.4", Host.renderMetrics()};
   if (Path == "/v1/status")
     return jsonAnswer(200, Host.status());
   if (Path == "/v1/hosts")
--- a/daemon/query_runner.cpp
+++ b/daemon/query_runner.cpp
@@ -22,9 +22,12 @@
 struct Cancelled {};
 struct CallerGone {};
 struct TimerFired {};
+struct StrikeAcknowledged {
+  uint32_t Strikes;
+};
 
-using SessionEvent =
-    std::variant<Answered, Refused, Lost, Cancelled, CallerGone, TimerFired>;
+using SessionEvent = std::variant<Answered, Refused, Lost, Cancelled,
+                                  CallerGone, TimerFired, StrikeAcknowledged>;
 
 SessionEvent eventOf(DispatchReply &Message) {
   switch (Message.Outcome) {
@@ -38,6 +41,8 @@
     return Refused{refusalOf(Message.Reason)};
   case DispatchOutcome::Cancelled:
     return Cancelled{};
+  case DispatchOutcome::BackendLost:
+    return Lost{true};
   case DispatchOutcome::Lost:
     break;
   }
@@ -71,14 +76,17 @@
 
 struct QueryRunner::ActiveQuery {
   ActiveQuery(const QueryRequest &Request, ServiceNode &Node,
-              const QuerySessionOptions &Options, Random &Rand)
-      : Node(Node), Options(Options),
+              const QuerySessionOptions &Options, QueryHooks &Hooks,
+              Random &Rand)
+      : Node(Node), Options(Options), Hooks(&Hooks),
         IsBatch(Request.Class == QueryClass::Batch),
         Text(std::make_shared<const std::string>(Request.Query)),
         Session(Options, Node.directory(), Rand) {}
 
   ServiceNode &Node;
   QuerySessionOptions Options;
+  /// Null once run() has returned.
+  QueryHooks *Hooks;
   bool IsBatch;
   std::shared_ptr<const std::string> Text;
   QuerySession Session;
@@ -86,6 +94,7 @@
   /// Events that arrived while another one was handled.
   std::deque<std::pair<SubRequestNumber, SessionEvent>> Events;
   bool Settling = false;
+  bool CanaryReported = false;
   std::optional<QueryAnswer> Answer;
   MonotonicTime WakeUp = MonotonicTime::max();
   FiberEvent Changed;
@@ -100,6 +109,8 @@
       Session.onLost(Number, L->Backend, Now, Out);
     else if (std::holds_alternative<Cancelled>(Event))
       Session.onCancelled(Number, Now, Out);
+    else if (auto *S = std::get_if<StrikeAcknowledged>(&Event))
+      Session.onStrikeAcknowledged(S->Strikes, Now, Out);
     else if (std::holds_alternative<CallerGone>(Event))
       Session.onCallerGone(Now, Out);
     else
@@ -112,16 +123,14 @@
 
 QueryAnswer QueryRunner::run(const QueryRequest &Request, ServiceNode &Node,
                              const QuerySessionOptions &Options,
-                             const std::shared_ptr<CallerSignals> &Caller) {
-  auto Query =
-      std::make_shared<ActiveQuery>(Request, Node, Options, Context.Rand);
+                             QueryHooks &Hooks) {
+  auto Query = std::make_shared<ActiveQuery>(Request, Node, Options, Hooks,
+                                             Context.Rand);
   ++Running;
   std::weak_ptr<ActiveQuery> Weak = Query;
-  Caller->onLoss([this, Weak](CallerLoss) {
-    if (auto Live = Weak.lock()) {
-      Live->Events.emplace_back(SubRequestNumber(), CallerGone{});
-      settle(Live);
-    }
+  Hooks.started([this, Weak] {
+    if (auto Live = Weak.lock())
+      raise(Live, SubRequestNumber(), CallerGone{});
   });
   QueryActions Actions;
   Query->Session.start(Context.Loop.now(), Actions);
@@ -136,6 +145,7 @@
     }
     Query->Changed.clear();
   }
+  Query->Hooks = nullptr;
   Total += Query->Session.counters();
   --Running;
   return std::move(*Query->Answer);
@@ -166,6 +176,12 @@
     Wake = *Actions.WakeUp < Query->WakeUp;
     Query->WakeUp = *Actions.WakeUp;
   }
+  if (Query->Hooks && Query->Session.canaryPassed() && !Query->CanaryReported) {
+    Query->CanaryReported = true;
+    Query->Hooks->canaryPassed();
+  }
+  if (Query->Hooks && Actions.Strike)
+    reportStrike(Query);
   if (Actions.Answer) {
     Query->Answer = std::move(Actions.Answer);
     Wake = true;
@@ -174,6 +190,23 @@
     Query->Changed.set();
 }
 
+void QueryRunner::reportStrike(const std::shared_ptr<ActiveQuery> &Query) {
+  std::weak_ptr<ActiveQuery> Weak = Query;
+  Query->Hooks->strike([this, Weak](uint32_t Strikes) {
+    if (auto Live = Weak.lock())
+      raise(Live, SubRequestNumber(), StrikeAcknowledged{Strikes});
+  });
+}
+
+template <typename Event>
+void QueryRunner::raise(const std::shared_ptr<ActiveQuery> &Query,
+                        SubRequestNumber Number, Event What) {
+  if (Query->Answer)
+    return;
+  Query->Events.emplace_back(Number, std::move(What));
+  settle(Query);
+}
+
 void QueryRunner::send(const std::shared_ptr<ActiveQuery> &Query,
                        std::vector<SubRequestSend> &Sends) {
   if (Sends.empty())
--- a/daemon/query_runner.h
+++ b/daemon/query_runner.h
@@ -19,6 +19,19 @@
 
 namespace mimosa {
 
+/// What the runner tells about one query while it runs; must not suspend.
+class QueryHooks {
+public:
+  virtual ~QueryHooks() = default;
+  /// \p Abort ends the query because its caller gave up; harmless later.
+  virtual void started(std::function<void()> Abort) = 0;
+  /// The canary was answered: the fingerprint is good.
+  virtual void canaryPassed() = 0;
+  /// A backend server was lost with the canary. \p Acknowledge is to be called
+  /// with the number of strikes once the host set knows of it.
+  virtual void strike(std::function<void(uint32_t)> Acknowledge) = 0;
+};
+
 class QueryRunner {
 public:
   explicit QueryRunner(NodeContext &Context);
@@ -26,8 +39,7 @@
 
   /// Runs one query and returns its answer; suspends the fiber.
   QueryAnswer run(const QueryRequest &Request, ServiceNode &Node,
-                  const QuerySessionOptions &Options,
-                  const std::shared_ptr<CallerSignals> &Caller);
+                  const QuerySessionOptions &Options, QueryHooks &Hooks);
 
   /// A sub-request that this host sent as root has ended.
   void onReply(DispatchReply Message);
@@ -49,6 +61,10 @@
   };
 
   void settle(const std::shared_ptr<ActiveQuery> &Query);
+  template <typename Event>
+  void raise(const std::shared_ptr<ActiveQuery> &Query, SubRequestNumber Number,
+             Event What);
+  void reportStrike(const std::shared_ptr<ActiveQuery> &Query);
   void carryOut(const std::shared_ptr<ActiveQuery> &Query,
                 QueryActions &Actions);
   void send(const std::shared_ptr<ActiveQuery> &Query,
--- /dev/null
+++ b/daemon/strike_driver.cpp
@@ -0,0 +1,40 @@
+#include "daemon/strike_driver.h"
+
+#include "quarantine/strike_broadcast.h"
+
+#include <memory>
+
+namespace mimosa {
+
+void StrikeDriver::broadcast(const StrikeNotice &Notice,
+                             const std::vector<HostId> &Hosts) {
+  struct Wait {
+    Wait(const StrikeNotice &Notice, const std::vector<HostId> &Hosts,
+         MonotonicTime Now)
+        : Broadcast(Notice, Hosts, Now) {}
+    StrikeBroadcast Broadcast;
+    FiberEvent Changed;
+  };
+  auto State = std::make_shared<Wait>(Notice, Hosts, Context.Loop.now());
+  std::string Body = packBody(Notice);
+  // A copy: replies change the list of the broadcast.
+  std::vector<HostId> Recipients = State->Broadcast.recipients();
+  for (const HostId &Host : Recipients)
+    Context.Peers.request(
+        Host, MessageType::StrikeNotice, Body, StrikeBroadcastTime,
+        [State, Host](const Result<PeerFrame> &Reply) {
+          auto Ack = ok(Reply) ? unpackBody<StrikeAck>(valueOf(Reply).Body)
+                               : Result<StrikeAck>(errorOf(Reply));
+          if (ok(Ack))
+            State->Broadcast.acknowledged(valueOf(Ack));
+          else
+            State->Broadcast.failed(Host);
+          State->Changed.set();
+        });
+  while (!State->Broadcast.complete(Context.Loop.now())) {
+    State->Changed.waitUntil(State->Broadcast.deadline());
+    State->Changed.clear();
+  }
+}
+
+} // namespace mimosa
--- a/dispatch/backend_gate.cpp
+++ b/dispatch/backend_gate.cpp
@@ -157,7 +157,9 @@
   Message.Outcome = Outcome;
   Message.Reason = Reason;
   Message.Code = refusalCode(Reason);
-  if (Outcome == DispatchOutcome::Lost && Reason == RefusalReason::None)
+  bool IsLost = Outcome == DispatchOutcome::Lost ||
+                Outcome == DispatchOutcome::BackendLost;
+  if (IsLost && Reason == RefusalReason::None)
     Message.Code = ResultCode::BackendLost;
   Message.Body = std::move(Body);
   Message.ServiceTime = ServiceTime;
--- a/dispatch/backend_gate.h
+++ b/dispatch/backend_gate.h
@@ -167,7 +167,8 @@
   void adjustConnections(MonotonicTime Now, DispatchActions &Out);
   void closeUnused(DispatchActions &Out);
   void closeConnection(ConnectionId Id, DispatchActions &Out);
-  void loseExchange(const Connection &C, DispatchActions &Out);
+  void loseExchange(const Connection &C, DispatchOutcome Outcome,
+                    DispatchActions &Out);
   void retire(ConnectionId Id, MonotonicTime Now, DispatchActions &Out);
   bool isSilent(const Connection &C, MonotonicTime Now) const;
   bool isOverdue(const Connection &C, MonotonicTime Now) const;
--- a/dispatch/backend_gate_connections.cpp
+++ b/dispatch/backend_gate_connections.cpp
@@ -61,7 +61,8 @@
   Out.emplace_back(CloseConnection{Id, Closed});
 }
 
-void BackendGate::loseExchange(const Connection &C, DispatchActions &Out) {
+void BackendGate::loseExchange(const Connection &C, DispatchOutcome Outcome,
+                               DispatchActions &Out) {
   if (C.Use == ConnectionUse::Status)
     StatusDue = std::min(StatusDue, C.Since + StatusRetry);
   if (C.Use == ConnectionUse::Cancel && Works[C.Index].Id == C.Send)
@@ -69,7 +70,7 @@
   if (C.Use != ConnectionUse::Search)
     return;
   ++Counters.Lost;
-  reply(C.Index, DispatchOutcome::Lost, RefusalReason::None, Out);
+  reply(C.Index, Outcome, RefusalReason::None, Out);
   Works[C.Index].Stage = Work::State::Lingering;
   Lingering.push_back(C.Index);
   requestCancel(C.Index);
@@ -79,7 +80,7 @@
                          DispatchActions &Out) {
   Connection C = *Pool.find(Retired);
   ++Counters.RetiredConnections;
-  loseExchange(C, Out);
+  loseExchange(C, DispatchOutcome::Lost, Out);
   closeConnection(Retired, Out);
   if (C.Peer == Incarnation())
     OpenDue = Now + ReopenDelay;
@@ -108,7 +109,7 @@
   }
   Connection C = *Found;
   Pool.remove(LostId);
-  loseExchange(C, Out);
+  loseExchange(C, DispatchOutcome::BackendLost, Out);
   // A backend server that accepts and closes at once must not be called in a
   // tight loop.
   if (C.Peer == Incarnation())
@@ -234,7 +235,7 @@
     if (C.Peer != Incarnation() && C.Peer != BackendIncarnation)
       Old.push_back(C.Id);
   for (ConnectionId Closed : Old) {
-    loseExchange(*Pool.find(Closed), Out);
+    loseExchange(*Pool.find(Closed), DispatchOutcome::BackendLost, Out);
     closeConnection(Closed, Out);
   }
   // What the previous process ran has ended with it.
--- a/dispatch/sub_request.h
+++ b/dispatch/sub_request.h
@@ -73,6 +73,8 @@
   Lost,
   /// Cancelled while it ran; it may have run.
   Cancelled,
+  /// As Lost, and the backend server's process ended or was reset meanwhile.
+  BackendLost,
 };
 
 /// Why a sub-request did not run.
