Drop messages to seeds that are not running in the membership tests

Cause: the simulated cluster of 2 hosts has 3 seeds, and a message to the third one read past the end of the list of hosts; the address sanitizer reports it.

Change: such a message is lost, as on a network. No check changes.

Conclusion: a fault of the test harness only.

--- a/membership/simulated_cluster_test.h
+++ b/membership/simulated_cluster_test.h
@@ -130,6 +130,8 @@
           [](const auto &Message) { return packBody(Message).size(); },
           Send.Message);
     size_t To = indexOf(Send.To);
+    if (To >= Hosts.size()) // a seed that is not running
+      return;
     if ((Loss > 0 && Choices.unit() < Loss) || (IsCut && IsCut(From, To)))
       return;
     Duration Latency = Step * static_cast<int64_t>(1 + Choices.below(4));
