Add probes of stragglers, the baseline policy and the silence bound

Cause: a backend server that was slow once was never tried again; experiments need a baseline in the same binary; gates did not know the service's 99th percentile of latency, so sub-requests of over 50 ms were taken for silent.

--- a/daemon/node_context.h
+++ b/daemon/node_context.h
@@ -21,12 +21,20 @@
   Incarnation Life;
 };
 
+/// How sub-requests are placed.
+enum class QueryPolicy {
+  Adaptive,
+  /// Random replicas, no hedges and no canaries; for comparisons.
+  Baseline,
+};
+
 struct NodeContext {
   FiberLoop &Loop;
   Random &Rand;
   PeerClient &Peers;
   MetricsRegistry &Metrics;
   HostIdentity Self;
+  QueryPolicy Policy = QueryPolicy::Adaptive;
 };
 
 } // namespace mimosa
--- a/daemon/options.cpp
+++ b/daemon/options.cpp
@@ -30,6 +30,7 @@
   std::string Zone;
   std::string Region = "default";
   std::string Seeds;
+  std::string Policy = "adaptive";
   int64_t LifetimeMs = inMilliseconds(Out.AddressLifetime);
   int64_t DrainMs = inMilliseconds(Out.DrainLimit);
   int64_t Seed = 0;
@@ -51,9 +52,19 @@
                 &DrainMs, 0, 600000);
   Parser.number("random-seed", "seed of random choices, 0 for any", &Seed, 0,
                 INT64_MAX);
+  Parser.text("policy", "adaptive, or baseline for comparisons", &Policy);
   *Exit = Parser.parse(Argc, Argv);
   if (*Exit)
     return Out;
+  if (Policy != "adaptive" && Policy != "baseline") {
+    std::fprintf(stderr,
+                 "mimosad: setting policy is '%s' but must be adaptive or "
+                 "baseline\n",
+                 Policy.c_str());
+    *Exit = 2;
+  }
+  Out.Policy =
+      Policy == "baseline" ? QueryPolicy::Baseline : QueryPolicy::Adaptive;
   Out.PeerAddress = HostId(Peer);
   Out.Zone = AvailabilityZoneId(Zone);
   Out.Region = RegionId(Region);
--- a/daemon/options.h
+++ b/daemon/options.h
@@ -6,6 +6,7 @@
 #include "base/ids.h"
 #include "base/result.h"
 #include "base/time.h"
+#include "daemon/node_context.h"
 
 #include <optional>
 #include <string>
@@ -29,6 +30,8 @@
   Duration AddressLifetime = Milliseconds(5000);
   /// Longest time that a graceful shutdown waits for queries in flight.
   Duration DrainLimit = Milliseconds(15000);
+  /// How sub-requests are placed; baseline is for comparisons.
+  QueryPolicy Policy = QueryPolicy::Adaptive;
   /// Seed of this process's random choices; 0 takes one from the system.
   uint64_t RandomSeed = 0;
 };
--- a/daemon/query_passage.cpp
+++ b/daemon/query_passage.cpp
@@ -96,8 +96,10 @@
 QueryAnswer QueryService::Passage::runAdmitted() {
   if (CallerIsGone)
     return gone();
-  if (std::optional<QueryAnswer> Refused = passQuarantine())
-    return *Refused;
+  bool Guarded = Service.Context.Policy == QueryPolicy::Adaptive;
+  if (Guarded)
+    if (std::optional<QueryAnswer> Refused = passQuarantine())
+      return *Refused;
   QueryAnswer Answer = Request.Idempotent ? runSession() : runClaimed();
   // After a strike the canary has ended already; then this has no effect.
   if (IsCanary)
--- a/daemon/query_passage.h
+++ b/daemon/query_passage.h
@@ -30,7 +30,6 @@
   void strike(std::function<void(uint32_t)> Acknowledge) override;
 
   QueryAnswer runAdmitted();
-  QueryAnswer runGuarded();
   QueryAnswer runClaimed();
   QueryAnswer runSession();
   std::optional<QueryAnswer> waitForAdmission();
--- a/daemon/query_runner.cpp
+++ b/daemon/query_runner.cpp
@@ -81,7 +81,7 @@
       : Node(Node), Options(Options), Hooks(&Hooks),
         IsBatch(Request.Class == QueryClass::Batch),
         Text(std::make_shared<const std::string>(Request.Query)),
-        Session(Options, Node.directory(), Rand) {}
+        Session(Options, Node.source(), Rand) {}
 
   ServiceNode &Node;
   QuerySessionOptions Options;
@@ -134,6 +134,8 @@
   });
   QueryActions Actions;
   Query->Session.start(Context.Loop.now(), Actions);
+  if (Options.KnownGood && Options.Idempotent && !Actions.Sends.empty())
+    probeStraggler(Query, Actions.Sends.front());
   Query->Settling = true;
   carryOut(Query, Actions);
   Query->Settling = false;
@@ -221,7 +223,8 @@
     }
     uint64_t Id = ++LastSubRequest;
     Query->SubRequests[Send.Number] = Id;
-    BySubRequest[Id] = {Query, Send.Number, Send.Backend, *Owner};
+    BySubRequest[Id] = {Query,  Send.Number, Send.Backend,
+                        *Owner, nullptr,     MonotonicTime()};
     ByOwner[*Owner].push_back(
         {RequestId(Id), std::move(Send.Backend), std::move(Send.Shards)});
   }
@@ -265,6 +268,38 @@
   Context.Peers.send(Owner, MessageType::Dispatch, packBody(Message));
 }
 
+void QueryRunner::probeStraggler(const std::shared_ptr<ActiveQuery> &Query,
+                                 const SubRequestSend &Sample) {
+  if (Sample.Shards.empty())
+    return;
+  MonotonicTime Now = Context.Loop.now();
+  BackendDirectory &Directory = Query->Node.directory();
+  ShardId Shard = Sample.Shards[Context.Rand.below(Sample.Shards.size())];
+  auto Straggler = Directory.takeProbe(Sample.Snapshot, Shard, Now);
+  if (!Straggler)
+    return;
+  std::optional<HostId> Owner = Directory.owner(*Straggler);
+  if (!Owner)
+    return;
+  uint64_t Id = ++LastSubRequest;
+  BySubRequest[Id] = {Query,  SubRequestNumber(), *Straggler,
+                      *Owner, &Query->Node,       Now};
+  Directory.sent(*Straggler, Now);
+  std::vector<DispatchItem> Items{{RequestId(Id), *Straggler, {Shard}}};
+  if (*Owner == Context.Self.Host)
+    sendLocal(*Query, std::move(Items), Sample.Snapshot);
+  else
+    sendRemote(*Query, *Owner, std::move(Items), Sample.Snapshot);
+}
+
+void QueryRunner::endProbe(const Outstanding &Probe, bool Answered) {
+  MonotonicTime Now = Context.Loop.now();
+  std::optional<Duration> Latency;
+  if (Answered)
+    Latency = Now - Probe.SentAt;
+  Probe.ProbeOf->directory().ended(Probe.Backend, Latency, Now);
+}
+
 void QueryRunner::cancel(ActiveQuery &Query, SubRequestNumber Number) {
   auto Found = Query.SubRequests.find(Number);
   if (Found == Query.SubRequests.end())
@@ -302,6 +337,10 @@
   else
     Sent.Query->Node.directory().ownerReported(
         Sent.Backend, Message.QueueLength, Message.Limit, Context.Loop.now());
+  if (Sent.ProbeOf) {
+    endProbe(Sent, Message.Outcome == DispatchOutcome::Answered);
+    return;
+  }
   Sent.Query->Events.emplace_back(Sent.Number, eventOf(Message));
   settle(Sent.Query);
 }
@@ -334,6 +373,10 @@
     It = BySubRequest.erase(It);
   }
   for (Outstanding &Sent : Ended) {
+    if (Sent.ProbeOf) {
+      endProbe(Sent, false);
+      continue;
+    }
     if (How == PeerClient::Loss::NotSent)
       Sent.Query->Events.emplace_back(Sent.Number, Refused{Refusal::NotSent});
     else
--- a/daemon/query_runner.h
+++ b/daemon/query_runner.h
@@ -58,6 +58,9 @@
     SubRequestNumber Number;
     BackendServerId Backend;
     HostId Owner;
+    /// Set for a probe, which belongs to no session.
+    ServiceNode *ProbeOf = nullptr;
+    MonotonicTime SentAt;
   };
 
   void settle(const std::shared_ptr<ActiveQuery> &Query);
@@ -74,6 +77,9 @@
   void sendLocal(ActiveQuery &Query, std::vector<DispatchItem> Items,
                  const SnapshotId &Snapshot);
   void cancel(ActiveQuery &Query, SubRequestNumber Number);
+  void probeStraggler(const std::shared_ptr<ActiveQuery> &Query,
+                      const SubRequestSend &Sample);
+  void endProbe(const Outstanding &Probe, bool Answered);
 
   NodeContext &Context;
   std::unordered_map<uint64_t, Outstanding> BySubRequest;
--- a/daemon/service_node.cpp
+++ b/daemon/service_node.cpp
@@ -16,6 +16,13 @@
 /// Most backend servers of one owner, as a multiple of the mean.
 constexpr double OwnerLoadBound = 1.25;
 
+/// Window of the 99th percentile that silent connections are told by.
+LatencyWindowOptions silenceWindow() {
+  LatencyWindowOptions Out;
+  Out.Quantile = 0.99;
+  return Out;
+}
+
 BackendState summaryState(const GateSummary &Summary) {
   if (!Summary.Known || !Summary.Reachable)
     return BackendState::Unknown;
@@ -75,16 +82,29 @@
 
 ServiceNode::ServiceNode(NodeContext &Context, KeyValueStore &Store,
                          ServiceId Service, BackendLinks::ReplyCallback OnReply)
-    : Context(Context), Store(Store), Name(std::move(Service)), Gates(*this),
-      Links(Context.Loop, Gates,
-            Context.Self.Host.text() + "-" +
-                std::to_string(Context.Self.Life.number()) + "/" + Name.text(),
-            std::move(OnReply), [this](GateId Gate) { Dirty.insert(Gate); }) {
+    : Context(Context), Store(Store), Name(std::move(Service)),
+      Baseline(Directory), Gates(*this),
+      Links(
+          Context.Loop, Gates,
+          Context.Self.Host.text() + "-" +
+              std::to_string(Context.Self.Life.number()) + "/" + Name.text(),
+          [this, OnReply = std::move(OnReply)](Reply Message) {
+            noteServiceTime(Message);
+            OnReply(std::move(Message));
+          },
+          [this](GateId Gate) { Dirty.insert(Gate); }),
+      ServedTimes(silenceWindow()) {
   Ticks = Context.Loop.every(TickInterval, [this] { tick(); });
 }
 
 ServiceNode::~ServiceNode() = default;
 
+ReplicaSource &ServiceNode::source() {
+  if (Context.Policy == QueryPolicy::Baseline)
+    return Baseline;
+  return Directory;
+}
+
 void ServiceNode::configure(const Config &Document, const Placement &Placed) {
   Settings = *Document.service(Name);
   configureBackends(Document);
@@ -274,8 +294,14 @@
   Links.carryOut(Actions);
 }
 
+void ServiceNode::noteServiceTime(const Reply &Ended) {
+  if (Ended.Outcome == DispatchOutcome::Answered)
+    ServedTimes.record(Ended.ServiceTime, Context.Loop.now());
+}
+
 void ServiceNode::tick() {
   DispatchActions Actions;
+  Gates.setServiceP99(ServedTimes.hedgeDelay(Context.Loop.now()));
   Gates.tick(Context.Loop.now(), Actions);
   Links.carryOut(Actions);
   finishReleases();
--- a/daemon/service_node.h
+++ b/daemon/service_node.h
@@ -11,6 +11,8 @@
 #define MIMOSA_DAEMON_SERVICE_NODE_H
 
 #include "backend/backend_directory.h"
+#include "backend/baseline_source.h"
+#include "backend/latency_window.h"
 #include "config/config.h"
 #include "daemon/backend_links.h"
 #include "daemon/node_context.h"
@@ -47,6 +49,8 @@
 
   const Service &settings() const { return Settings; }
   BackendDirectory &directory() { return Directory; }
+  /// What query sessions plan with: the directory, or its baseline form.
+  ReplicaSource &source();
   const Dispatcher &gates() const { return Gates; }
   /// The hosts that serve the service, in all regions.
   const std::vector<HostId> &hosts() const { return Hosts; }
@@ -70,6 +74,7 @@
   void configureBackends(const Config &Document);
   void place(const Config &Document, const Placement &Placed);
   std::vector<PreferredOwner> preferredOwners(const Placement &Placed) const;
+  void noteServiceTime(const Reply &Ended);
   void tick();
   void finishReleases();
   void publishIfDue();
@@ -82,6 +87,7 @@
   ServiceId Name;
   Service Settings;
   BackendDirectory Directory;
+  BaselineSource Baseline;
   Dispatcher Gates;
   BackendLinks Links;
   OwnerTable Owners;
@@ -92,6 +98,8 @@
   /// Backend servers of the own region by partition.
   std::map<Partition, uint32_t> BackendsIn;
   std::unordered_map<BackendServerId, uint32_t> IndexOf;
+  /// Times of sub-requests at the backend servers, for silent connections.
+  LatencyWindow ServedTimes;
   std::set<Partition> Ending;
   std::set<GateId> Dirty;
   bool OwnedChanged = false;
