Add mimosactl, the operators' command line

Change: mimosactl show, apply, diff, wait, zone-out, zone-in, drain, undrain, hosts and status, through any of several daemons. A change id is made per call and kept over its retries. apply stops at a conflict and prints what the other operator changed; a file made from an unknown document is compared with the one in force instead. The commands that edit one item edit the newer document again.

--- /dev/null
+++ b/tools/ctl_main.cpp
@@ -0,0 +1,47 @@
+// mimosactl: the operators' command line.
+
+#include "runtime/settings.h"
+#include "tools/ctl_commands.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <sstream>
+
+int main(int Argc, char **Argv) {
+  mimosa::CtlOptions Options;
+  std::string Daemons;
+  int64_t TimeoutMs = mimosa::inMilliseconds(Options.Timeout);
+  mimosa::Settings Parser("mimosactl", mimosa::CtlHelp, "COMMAND [ARGUMENT]");
+  Parser.text("daemon", "caller addresses of daemons, comma-separated",
+              &Daemons, true);
+  Parser.number("timeout-ms", "longest time of the command", &TimeoutMs, 1,
+                3600000);
+  Parser.number("expected-revision",
+                "apply: revision that FILE replaces, -1 for the one in FILE",
+                &Options.ExpectedRevision, -1, INT64_MAX);
+  Parser.text("base", "apply: file with the document that FILE was made from",
+              &Options.Base);
+  if (auto Exit = Parser.parse(Argc, Argv))
+    return *Exit;
+  Options.Timeout = mimosa::Milliseconds(TimeoutMs);
+  std::istringstream In(Daemons);
+  std::string One;
+  while (std::getline(In, One, ','))
+    if (!One.empty())
+      Options.Daemons.push_back(One);
+  int Status = 0;
+  mimosa::FiberLoop Loop;
+  Loop.run([&] {
+    mimosa::CtlCommands Commands(Loop, Options);
+    mimosa::Result<mimosa::Done> Outcome = Commands.run(Parser.arguments());
+    std::fflush(stdout);
+    if (!ok(Outcome)) {
+      const mimosa::Error &Why = errorOf(Outcome);
+      std::fprintf(stderr, "mimosactl: %s (%d): %s\n",
+                   mimosa::resultCodeName(Why.Code), static_cast<int>(Why.Code),
+                   Why.Message.c_str());
+    }
+    Status = exitStatusOf(Outcome);
+  });
+  std::_Exit(Status);
+}
