--- /dev/null
+++ b/tools/quickstart.py
@@ -0,0 +1,57 @@
+"""Starts a small system, runs a query and stops the system; see scripts/quickstart."""
+
+from __future__ import annotations
+
+import json
+import signal
+import sys
+
+from small_system import SmallSystem
+
+QUERY = "library"
+
+
+def _terminate(number: int, _: object) -> None:
+    # Unwinds the stack, so that the processes of the system are stopped.
+    sys.exit(128 + number)
+
+
+def _fault_of(answer: dict[str, object]) -> str | None:
+    """What keeps ``answer`` from being whole, or None."""
+    coverage = answer.get("coverage", {})
+    assert isinstance(coverage, dict)
+    if not answer.get("complete"):
+        return f"the answer is not whole: {answer.get('result')}, {coverage}"
+    if not coverage.get("total") or coverage["answered"] != coverage["total"]:
+        return f"the answer claims to be whole, but its coverage is {coverage}"
+    if not answer.get("hits"):
+        return f"the answer to '{QUERY}' has no hits"
+    return None
+
+
+def main() -> int:
+    signal.signal(signal.SIGTERM, _terminate)
+    signal.signal(signal.SIGHUP, _terminate)
+    with SmallSystem() as system:
+        print(f"daemons: {', '.join(system.callers)}")
+        print(system.apply_configuration(), end="")
+        system.wait_until_usable()
+        print("all backend servers are usable")
+        answer = system.query(QUERY)
+    print(json.dumps(answer, indent=2))
+    fault = _fault_of(answer)
+    if fault:
+        print(f"quickstart: {fault}", file=sys.stderr)
+        return 1
+    coverage = answer["coverage"]
+    print(f"whole answer: {coverage['answered']} of {coverage['total']} shards, "
+          f"{len(answer['hits'])} hits")
+    return 0
+
+
+if __name__ == "__main__":
+    try:
+        sys.exit(main())
+    except (RuntimeError, OSError) as error:
+        print(f"quickstart: {error}", file=sys.stderr)
+        sys.exit(1)
