--- a/tools/ctl_commands.cpp
+++ b/tools/ctl_commands.cpp
@@ -101,8 +101,8 @@
   apply FILE          print the differences and put FILE in force; FILE is a
                       JSON document, - reads standard input
   diff FILE           print what apply FILE would change
-  wait [REVISION]     wait until every live host has the revision in force, or
-                      REVISION; print the revision of each host
+  wait [REVISION]     wait until every live host has REVISION, by default the
+                      highest of any host; print the revision of each host
   zone-out ZONE       take an availability zone out
   zone-in ZONE        bring it back
   drain BACKEND       send no new work to a backend server
--- a/tools/ctl_hosts.cpp
+++ b/tools/ctl_hosts.cpp
@@ -88,13 +88,18 @@
   return Out;
 }
 
+/// The revision to wait for: \p Text or, if it is empty, the highest of the
+/// live hosts. The daemon that is asked may not have the newest change yet.
 Result<uint64_t> CtlCommands::wantedRevision(const std::string &Text) {
   if (!Text.empty())
     return parseRevision(Text);
-  Result<Config> Current = readConfig();
-  if (!ok(Current))
-    return errorOf(Current);
-  return valueOf(Current).ConfigRevision.number();
+  Result<std::vector<std::string>> Live = liveHosts();
+  if (!ok(Live))
+    return errorOf(Live);
+  uint64_t Highest = 0;
+  for (const auto &[Address, Number] : revisionsOf(valueOf(Live)))
+    Highest = std::max(Highest, Number);
+  return Highest;
 }
 
 Result<Done> CtlCommands::wait(const std::string &RevisionText) {
@@ -104,6 +109,7 @@
   Revisions Known;
   std::vector<std::string> Hosts;
   std::vector<std::string> Behind;
+  bool All = false;
   do {
     Result<std::vector<std::string>> Live = liveHosts();
     if (ok(Live))
@@ -114,11 +120,13 @@
     for (const auto &[Address, Number] : revisionsOf(Behind))
       Known[Address] = Number;
     Behind = hostsBehind(Hosts, Known, valueOf(Wanted));
-    if (!Behind.empty())
+    // A daemon that has just started knows no live host.
+    All = Behind.empty() && !Hosts.empty();
+    if (!All)
       FiberLoop::sleepFor(PollInterval);
-  } while (!Behind.empty() && Client.remaining() > Duration(0));
+  } while (!All && Client.remaining() > Duration(0));
   printRevisions(Hosts, Known);
-  if (Behind.empty())
+  if (All)
     return Done{};
   return Error{ResultCode::Timeout, std::to_string(Behind.size()) + " of " +
                                         std::to_string(Hosts.size()) +
