Keep exit status 1 of mimosactl for changes that are certainly not in force

Cause: after a lost reply, a refusal of the repeated change ended with status 1, which says that nothing was changed. A signal that arrived while the small system was being stopped ended the script before its daemons (3 daemons were seen for some seconds after SIGTERM). Change: such a refusal and an unreadable answer end with 4. Stopping the system blocks signals.

--- a/tools/ctl_commands.cpp
+++ b/tools/ctl_commands.cpp
@@ -144,6 +144,8 @@
 Result<Done> CtlCommands::run(const std::vector<std::string> &Words) {
   if (Words.empty())
     return usageError("a command is required");
+  if (Options.Daemons.empty())
+    return usageError("flag --daemon names no address");
   const std::string &Name = Words[0];
   std::string Argument = Words.size() > 1 ? Words[1] : "";
   using Action = std::function<Result<Done>()>;
@@ -214,9 +216,16 @@
   Error Refusal = errorInAnswer(Answer);
   Result<Json> Parsed = parseJson(Answer.Body);
   if (!ok(Parsed))
-    return errorOf(Parsed);
-  if (Refusal.Code != ResultCode::Ok && Refusal.Code != ResultCode::Conflict)
+    return Error{ResultCode::OutcomeUnknown,
+                 "the daemon's answer to the change cannot be read"};
+  if (Refusal.Code != ResultCode::Ok && Refusal.Code != ResultCode::Conflict) {
+    // The refusal says nothing about an attempt whose reply was lost.
+    if (Sent.Unsettled)
+      return Error{ResultCode::OutcomeUnknown,
+                   "the change may be in force; sent again, it was refused: " +
+                       Refusal.Message};
     return Refusal;
+  }
   Posted Out;
   Out.Accepted = Refusal.Code == ResultCode::Ok;
   Out.NewRevision = valueOf(Parsed).value("revision", uint64_t(0));
--- a/tools/small_system.py
+++ b/tools/small_system.py
@@ -170,6 +170,15 @@
 
     def stop(self) -> None:
         """Stops all processes by their ids, the daemons first."""
+        # A signal here would leave processes behind.
+        signals = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
+        before = signal.pthread_sigmask(signal.SIG_BLOCK, signals)
+        try:
+            self._stop()
+        finally:
+            signal.pthread_sigmask(signal.SIG_SETMASK, before)
+
+    def _stop(self) -> None:
         # mimosa-kv and mimosa-backend were started first.
         for _, process in reversed(self.processes):
             process.send_signal(signal.SIGTERM)
--- a/tools/system_test.py
+++ b/tools/system_test.py
@@ -246,6 +246,8 @@
             (("apply", "-"), "{", EXIT_FAILED, "bad_json"),
             (("apply", "-"), json.dumps(bad), EXIT_FAILED, "services[0].weight"),
             (("apply", "-"), json.dumps(misspelt), EXIT_FAILED, "queue_limt"),
+            (("show", "--daemon", ","), None, EXIT_USAGE, "--daemon"),
+            (("show", "--daemon", "nowhere"), None, EXIT_FAILED, "'nowhere'"),
             (("show", "--timeout-ms", "0"), None, EXIT_USAGE, "--timeout-ms"),
         ]
         for words, stdin, status, text in cases:
