--- /dev/null
+++ b/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments of section 10 of docs/design.md."""
--- /dev/null
+++ b/tools/bare_exchange_main.cpp
@@ -0,0 +1,149 @@
+// mimosa-bare-exchange: the processor time of plain HTTP exchanges with the
+// stand-ins for backend servers, as a yardstick for the daemon's cost. At each
+// tick it sends one request to every address, as a query does, and does nothing
+// with the replies. Prints one JSON line.
+
+#include "base/json_fields.h"
+#include "runtime/http.h"
+#include "runtime/settings.h"
+
+#include <sys/resource.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <sstream>
+#include <vector>
+
+namespace {
+
+constexpr mimosa::Duration ExchangeTimeout = mimosa::Seconds(2);
+constexpr mimosa::Duration DrainPoll = mimosa::Milliseconds(10);
+constexpr int64_t MicrosPerSecond = 1000000;
+
+struct BareOptions {
+  std::vector<std::string> Addresses;
+  std::string Body;
+  int64_t ConnectionsEach = 1;
+  int64_t Rate = 100;
+  int64_t Seconds = 5;
+};
+
+class BareClient {
+public:
+  BareClient(mimosa::FiberLoop &Loop, BareOptions Options)
+      : Loop(Loop), Options(std::move(Options)),
+        Idle(this->Options.Addresses.size()) {}
+
+  mimosa::Json run() {
+    openAll();
+    int64_t Before = processorMicros();
+    mimosa::MonotonicTime Start = Loop.now();
+    for (int64_t Tick = 0; Tick < Options.Rate * Options.Seconds; ++Tick) {
+      mimosa::MonotonicTime Due =
+          Start + mimosa::Duration(Tick * MicrosPerSecond / Options.Rate);
+      if (Due > Loop.now())
+        mimosa::FiberLoop::sleepFor(Due - Loop.now());
+      sendToAll();
+    }
+    while (Running > 0)
+      mimosa::FiberLoop::sleepFor(DrainPoll);
+    return {{"exchanges", Done},
+            {"failed", Failed},
+            {"no_connection", NoConnection},
+            {"processor_us", processorMicros() - Before}};
+  }
+
+private:
+  static int64_t processorMicros() {
+    rusage Used{};
+    getrusage(RUSAGE_SELF, &Used);
+    return (Used.ru_utime.tv_sec + Used.ru_stime.tv_sec) * MicrosPerSecond +
+           Used.ru_utime.tv_usec + Used.ru_stime.tv_usec;
+  }
+
+  /// The body for the address with number \p I: "@" stands for the number.
+  std::string bodyFor(size_t I) const {
+    std::string Out = Options.Body;
+    size_t Place = Out.find('@');
+    if (Place != std::string::npos)
+      Out.replace(Place, 1, std::to_string(I));
+    return Out;
+  }
+
+  void openAll() {
+    for (size_t I = 0; I < Idle.size(); ++I)
+      for (int64_t C = 0; C < Options.ConnectionsEach; ++C) {
+        auto Opened = mimosa::HttpConnection::open(Loop, Options.Addresses[I],
+                                                   ExchangeTimeout);
+        if (ok(Opened))
+          Idle[I].push_back(valueOf(std::move(Opened)));
+      }
+  }
+
+  void sendToAll() {
+    for (size_t I = 0; I < Idle.size(); ++I) {
+      if (Idle[I].empty()) {
+        ++NoConnection;
+        continue;
+      }
+      ++Running;
+      Loop.spawn([this, I] { exchange(I); });
+    }
+  }
+
+  void exchange(size_t I) {
+    if (Idle[I].empty()) {
+      ++NoConnection;
+      --Running;
+      return;
+    }
+    auto Connection = std::move(Idle[I].back());
+    Idle[I].pop_back();
+    auto Reply =
+        Connection->exchange({"POST", "/search", bodyFor(I)}, ExchangeTimeout);
+    ++(ok(Reply) && valueOf(Reply).Status == 200 ? Done : Failed);
+    if (Connection->isOpen())
+      Idle[I].push_back(std::move(Connection));
+    --Running;
+  }
+
+  mimosa::FiberLoop &Loop;
+  BareOptions Options;
+  std::vector<std::vector<std::unique_ptr<mimosa::HttpConnection>>> Idle;
+  int64_t Running = 0;
+  int64_t Done = 0;
+  int64_t Failed = 0;
+  int64_t NoConnection = 0;
+};
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  BareOptions Options;
+  std::string Addresses;
+  mimosa::Settings Parser("mimosa-bare-exchange",
+                          "processor time of plain HTTP exchanges");
+  Parser.text("addresses", "backend servers, comma-separated", &Addresses,
+              true);
+  Parser.text("body",
+              "body of each request; @ stands for the number of its address",
+              &Options.Body, true);
+  Parser.number("connections", "connections to each", &Options.ConnectionsEach,
+                1, 1000);
+  Parser.number("rate", "requests per second to each", &Options.Rate, 1,
+                100000);
+  Parser.number("seconds", "length of the run", &Options.Seconds, 1, 3600);
+  if (auto Exit = Parser.parse(Argc, Argv))
+    return *Exit;
+  std::istringstream In(Addresses);
+  std::string One;
+  while (std::getline(In, One, ','))
+    Options.Addresses.push_back(One);
+  mimosa::FiberLoop Loop;
+  Loop.run([&] {
+    BareClient Client(Loop, Options);
+    std::printf("%s\n", Client.run().dump().c_str());
+    std::fflush(stdout);
+    std::_Exit(0);
+  });
+}
