Let stand-ins survive their crash faults; measure whole periods of idle work

Cause: the stand-in ended (SIGABRT) when a crash fault closed connections whose handlers ran, since HttpServer cancels its watch on the closed socket. The time of measuring in the experiment control was 15 s, shorter than the longest period of the daemon (30 s), so it missed store calls.

Change: the stand-in lets the searches that a crash ends leave their connections first. control measures 31 s at each size. Plots find figures within lists.

--- a/experiments/cluster.py
+++ b/experiments/cluster.py
@@ -211,7 +211,8 @@
                 self.store_address, [s for s in seeds if s != new_peers[i]],
                 ["--random-seed", self.seed * 1000 + start + i + 1, *extra]))
         wait_until(lambda: all(reachable(d.caller) for d in self.daemons), 30)
-        wait_until(lambda: all(len(d.status()["hosts"]) == len(self.daemons)
+        wait_until(lambda: all(total(d.metrics(), "mimosa_members")
+                               == len(self.daemons)
                                for d in self.daemons), 120)
 
     def document(self):
@@ -269,7 +270,10 @@
             self.fault(server, **fault)
 
     def backend_stats(self):
-        """Counters of each backend server by name."""
+        """Counters of each backend server by name; one that has crashed is
+        read after its restart."""
+        for address in self.addresses.values():
+            wait_until(lambda a=address: reachable(a), 10)
         return {server: call(address, "GET", "/stats")[1]
                 for server, address in self.addresses.items()}
 
--- a/experiments/control_plane.py
+++ b/experiments/control_plane.py
@@ -101,8 +101,9 @@
                         for name, bound in CONTROL_BOUNDS.items())}
 
 
-def _idle_figures(seed, size, seconds=15, settle=8):
-    """Figures of `size` idle daemons with 2 small services per 8 daemons."""
+def _idle_figures(seed, size, seconds=31, settle=6):
+    """Figures of `size` idle daemons with 2 small services per 8 daemons. The
+    time of measuring covers the longest period of the daemon (30 s)."""
     with Cluster(seed) as cluster:
         services = max(1, size // 8 * 2)
         cluster.add_small_services(services)
--- a/experiments/plot.py
+++ b/experiments/plot.py
@@ -31,6 +31,8 @@
 
 def _loads(value, label=""):
     """All figures of load generators within `value`, with their place."""
+    if isinstance(value, list):
+        value = {str(place): part for place, part in enumerate(value)}
     if not isinstance(value, dict):
         return
     if "p99_ms" in value and "p50_ms" in value:
--- a/tools/backend_stand_in.cpp
+++ b/tools/backend_stand_in.cpp
@@ -11,6 +11,11 @@
 
 constexpr size_t HitsPerShard = 10;
 constexpr Duration RetryListenDelay = Milliseconds(20);
+/// How often a crash checks whether the searches that it ends have left their
+/// connections. Closing the connection of a running handler ends the process,
+/// because HttpServer cancels its watch on the closed socket.
+constexpr Duration CrashPoll = Milliseconds(2);
+constexpr Duration SilencePoll = Milliseconds(20);
 
 HttpResponse jsonAnswer(int Status, const Json &Body) {
   return {Status, "application/json", Body.dump()};
@@ -65,6 +70,12 @@
     return setFault(Request);
   if (Request.path() == "/stats")
     return stats();
+  if (Down) {
+    // A request that was read as its connection was closed: its watch has to
+    // end before the handler does.
+    FiberLoop::sleepFor(CrashPoll);
+    return {0, "", ""};
+  }
   auto Open = static_cast<int64_t>(Server->counters().Open);
   Counted.MostConnections = std::max(Counted.MostConnections, Open);
   if (Open > Options.Connections)
@@ -84,7 +95,9 @@
 BackendStandIn::stayAway(const std::shared_ptr<CallerSignals> &Caller) {
   FiberEvent Gone;
   Caller->onLoss([&Gone](CallerLoss) { Gone.set(); });
-  Gone.wait();
+  while (!Down && !Gone.waitUntil(Loop.now() + SilencePoll)) {
+  }
+  Caller->onLoss(nullptr);
   return {0, "", ""};
 }
 
@@ -158,11 +171,12 @@
   ++InHand;
   Counted.MostInHand = std::max(Counted.MostInHand, InHand);
   ById[Job.Id] = &Job;
+  uint64_t StartedIn = Incarnation;
   HttpResponse Out = run(Job);
   Caller->onLoss(nullptr);
   ById.erase(Job.Id);
   --InHand;
-  return Out;
+  return StartedIn == Incarnation ? Out : HttpResponse{0, "", ""};
 }
 
 bool BackendStandIn::awaitSlot(Search &Job) {
@@ -289,17 +303,26 @@
 }
 
 void BackendStandIn::crash() {
+  if (Down)
+    return;
+  Down = true;
   ++Counted.Crashes;
   ++Incarnation;
-  Server->abort();
+  Server->drain();
   for (auto &[Id, Job] : ById)
     Job->Wake.set();
+  CloseAll = Loop.every(CrashPoll, [this] {
+    if (Server->inFlight() == 0)
+      Server->abort();
+  });
   Restart = Loop.after(Milliseconds(Fault.RestartMs), [this] {
     Loop.spawn([this] {
+      CloseAll.cancel();
       SilentUpTo = 0;
       setCold(Milliseconds(Fault.ColdAfterCrashMs));
       while (!ok(start()))
         FiberLoop::sleepFor(RetryListenDelay);
+      Down = false;
     });
   });
 }
--- a/tools/backend_stand_in.h
+++ b/tools/backend_stand_in.h
@@ -138,6 +138,9 @@
   std::deque<Search *> Waiting;
   std::map<std::string, Search *> ById;
   std::set<std::string> NonIdempotentRuns;
+  /// Between a crash and the restart.
+  bool Down = false;
+  Subscription CloseAll;
   Subscription Restart;
 };
 
