Close the load generator's connections to hosts that left the answer

Cause: mimosaload kept idle connections to a host that had left the address answer. When the host had restarted and was named again, its first requests failed with end of stream, which is a fault of the caller and not of the daemon.

Change: connections to hosts that the latest address answer does not name are closed.

--- a/tools/load_generator.cpp
+++ b/tools/load_generator.cpp
@@ -1,6 +1,8 @@
 #include "tools/load_generator.h"
 
+#include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace mimosa {
 
@@ -63,7 +65,7 @@
       for (const Json &One : valueOf(Body)["addresses"])
         Next.push_back(One.value("address", ""));
       if (!Next.empty())
-        Addresses = std::move(Next);
+        setAddresses(std::move(Next));
       Lifetime = Milliseconds(valueOf(Body).value("lifetime_ms", 1000));
     } else {
       ++Turn;
@@ -73,6 +75,17 @@
   }
 }
 
+void LoadGenerator::setAddresses(std::vector<std::string> Next) {
+  Addresses = std::move(Next);
+  // A host that is no longer named may restart; its old connections would fail
+  // when it is named again.
+  for (auto It = Idle.begin(); It != Idle.end();) {
+    bool Named = std::find(Addresses.begin(), Addresses.end(), It->first) !=
+                 Addresses.end();
+    It = Named ? std::next(It) : Idle.erase(It);
+  }
+}
+
 void LoadGenerator::arrive(MonotonicTime At) {
   ++Sent;
   ++Running;
@@ -120,7 +133,9 @@
       Connection = valueOf(std::move(Opened));
     }
     Result<HttpResponse> Answer = Connection->exchange(Request, Limit);
-    if (ok(Answer) && Connection->isOpen())
+    bool Named = std::find(Addresses.begin(), Addresses.end(), Address) !=
+                 Addresses.end();
+    if (ok(Answer) && Connection->isOpen() && Named)
       Idle[Address].push_back(std::move(Connection));
     return Answer;
   }
--- a/tools/load_generator.h
+++ b/tools/load_generator.h
@@ -47,6 +47,7 @@
 
 private:
   void refreshAddresses();
+  void setAddresses(std::vector<std::string> Next);
   void arrive(MonotonicTime At);
   void ask(MonotonicTime At);
   std::string body(uint64_t Number);
