--- /dev/null
+++ b/proof/fake_backends.cpp
@@ -0,0 +1,319 @@
+#include "proof/fake_backends.h"
+
+#include <algorithm>
+
+namespace mimosa {
+
+namespace {
+
+constexpr Duration Hop = Milliseconds(1);
+constexpr Duration OpenTime = Milliseconds(3);
+constexpr Duration ServiceTime = Milliseconds(4);
+constexpr Duration SlowTime = Milliseconds(80);
+constexpr Duration CrashDown = Milliseconds(500);
+constexpr Duration WarmStep = Milliseconds(700);
+
+} // namespace
+
+FakeBackends::FakeBackends(Break Broken, Record &Seen, Timeline &Time,
+                           OnHost Deliver)
+    : Broken(Broken), Seen(Seen), Time(Time), Deliver(std::move(Deliver)),
+      Servers(Count) {
+  for (size_t B = 0; B < Count; ++B)
+    Seen.Zones[name(B).text()] = zone(B).text();
+  Seen.Totals = {{"v1", 4}, {"v2", 6}};
+}
+
+BackendServerId FakeBackends::name(size_t B) {
+  return BackendServerId("b" + std::to_string(B));
+}
+
+size_t FakeBackends::index(const BackendServerId &Backend) {
+  return static_cast<size_t>(std::stoi(Backend.text().substr(1)));
+}
+
+AvailabilityZoneId FakeBackends::zone(size_t B) {
+  return AvailabilityZoneId("z" + std::to_string(B % 3 + 1));
+}
+
+std::vector<ShardId> FakeBackends::shards(size_t B) const {
+  uint32_t Half = Servers[B].Snapshot == "v1" ? 2 : 3;
+  std::vector<ShardId> Out;
+  for (uint32_t S = 0; S < Half; ++S)
+    Out.emplace_back(static_cast<uint32_t>(B % 2) * Half + S);
+  return Out;
+}
+
+void FakeBackends::straggle(size_t B, Duration For) {
+  Servers[B].SlowUntil = Time.Now + For;
+}
+
+void FakeBackends::kill(size_t B, Duration Down) {
+  Server &S = Servers[B];
+  S.Up = false;
+  S.InFlight.clear();
+  Seen.add({Time.Now, EventKind::Note, name(B).text(), "", "is lost"});
+  auto Links = S.Links;
+  for (const auto &[Key, Each] : Links)
+    if (!Each.Silent)
+      lose(B, Key);
+  Time.after(Down, [this, B] {
+    Server &Next = Servers[B];
+    if (Next.Up)
+      return;
+    Next.Up = true;
+    ++Next.Process;
+    turnCold(B);
+  });
+}
+
+void FakeBackends::turnCold(size_t B) {
+  Server &S = Servers[B];
+  if (S.State == ReportedState::Draining)
+    return;
+  Seen.add({Time.Now, EventKind::Note, name(B).text(), "", "is cold"});
+  S.State = ReportedState::Cold;
+  S.Bears = 1;
+  warm(B, S.Process);
+}
+
+void FakeBackends::warm(size_t B, uint64_t Process) {
+  Time.after(WarmStep, [this, B, Process] {
+    Server &S = Servers[B];
+    if (S.Process != Process || S.State != ReportedState::Cold)
+      return;
+    S.Bears = Slots;
+    S.State = ReportedState::Serving;
+  });
+}
+
+void FakeBackends::silence(size_t B) {
+  for (auto &[Key, Each] : Servers[B].Links)
+    Each.Silent = true;
+}
+
+void FakeBackends::drain(size_t B) {
+  Servers[B].State = ReportedState::Draining;
+  Seen.add({Time.Now, EventKind::Draining, name(B).text()});
+}
+
+void FakeBackends::repartition() {
+  for (size_t B = 0; B < Count; ++B)
+    Time.after(Milliseconds(20 * B), [this, B] { Servers[B].Snapshot = "v2"; });
+}
+
+bool FakeBackends::alive(size_t B, const LinkKey &Key) const {
+  const Server &S = Servers[B];
+  auto Found = S.Links.find(Key);
+  return S.Up && Found != S.Links.end() && !Found->second.Silent &&
+         Found->second.Process == S.Process;
+}
+
+StatusReport FakeBackends::status(size_t B) const {
+  const Server &S = Servers[B];
+  StatusReport Out;
+  Out.BackendIncarnation = Incarnation(S.Process);
+  Out.State = S.State;
+  if (Broken == Break::DrainIgnored && Out.State == ReportedState::Draining)
+    Out.State = ReportedState::Serving;
+  Out.Bears = S.Bears;
+  uint32_t Total = Seen.Totals.at(S.Snapshot);
+  Out.Snapshots.push_back({SnapshotId(S.Snapshot), Total, shards(B)});
+  return Out;
+}
+
+/// Notes that an owner hears the present state.
+void FakeBackends::tell(size_t B) {
+  Server &S = Servers[B];
+  S.Told = S.State == ReportedState::Cold ? S.Bears : Slots;
+}
+
+void FakeBackends::act(size_t Host, size_t B, const OpenConnection &A) {
+  LinkKey Key = keyOf(Host, A.Gate, A.Connection);
+  Time.after(OpenTime, [=] {
+    if (Servers[B].Up)
+      Servers[B].Links[Key] = {Servers[B].Process, false};
+    bool Opened = Servers[B].Up;
+    Deliver(Host, [=](Dispatcher &D, DispatchActions &Out) {
+      BackendGate *Gate = D.gate(A.Gate);
+      if (!Gate)
+        return;
+      if (Opened)
+        Gate->connectionOpened(A.Connection, Time.Now, Out);
+      else
+        Gate->connectionLost(A.Connection, Time.Now, Out);
+    });
+  });
+}
+
+void FakeBackends::act(size_t Host, size_t B, const CloseConnection &A) {
+  Servers[B].Links.erase(keyOf(Host, A.Gate, A.Connection));
+}
+
+void FakeBackends::lose(size_t B, const LinkKey &Key) {
+  Servers[B].Links.erase(Key);
+  auto [Host, Gate, Connection] = Key;
+  GateId G(Gate);
+  ConnectionId C(Connection);
+  Deliver(Host, [=](Dispatcher &D, DispatchActions &Out) {
+    if (BackendGate *Found = D.gate(G))
+      Found->connectionLost(C, Time.Now, Out);
+  });
+}
+
+void FakeBackends::act(size_t Host, size_t B, const PollStatus &A) {
+  LinkKey Key = keyOf(Host, A.Gate, A.Connection);
+  Time.after(Hop, [=] {
+    if (!alive(B, Key))
+      return;
+    StatusReport Report = status(B);
+    Deliver(Host, [=](Dispatcher &D, DispatchActions &Out) {
+      BackendGate *Gate = D.gate(A.Gate);
+      if (!Gate)
+        return;
+      tell(B);
+      Gate->firstByte(A.Connection);
+      Gate->statusReplied(A.Connection, Report, Time.Now, Out);
+    });
+  });
+}
+
+void FakeBackends::act(size_t Host, size_t B, const SendCancel &A) {
+  LinkKey Key = keyOf(Host, A.Gate, A.Connection);
+  Time.after(Hop, [=] {
+    if (!alive(B, Key))
+      return;
+    auto Found = Servers[B].InFlight.find(idOf(Host, A.Gate, A.Id));
+    if (Found != Servers[B].InFlight.end() && Found->second) {
+      SendSearch Stopped = *Found->second;
+      Servers[B].InFlight.erase(Found);
+      SearchReply Ended;
+      Ended.Type = SearchReply::Kind::Malformed;
+      reply(Host, B, Stopped, Ended);
+    }
+    Deliver(Host, [=](Dispatcher &D, DispatchActions &Out) {
+      if (BackendGate *Gate = D.gate(A.Gate))
+        Gate->cancelReplied(A.Connection, Time.Now, Out);
+    });
+  });
+}
+
+void FakeBackends::noteSend(const LinkKey &Id, size_t B,
+                            const SubRequest &Work) {
+  Server &S = Servers[B];
+  S.InFlight[Id] = std::nullopt;
+  Event E{Time.Now, EventKind::Send, name(B).text(), *Work.Query};
+  E.Text = "by h" + std::to_string(std::get<0>(Id));
+  E.Snapshot = Work.Snapshot.text();
+  E.Shards = Work.Shards;
+  E.Count = S.InFlight.size();
+  E.Limit = S.Told;
+  Seen.add(std::move(E));
+}
+
+void FakeBackends::act(size_t Host, size_t B, const SendSearch &A) {
+  noteSend(idOf(Host, A.Gate, A.Id), B, A.Work);
+  Time.after(Hop, [=] { arrive(Host, B, A); });
+}
+
+void FakeBackends::arrive(size_t Host, size_t B, const SendSearch &A) {
+  Server &S = Servers[B];
+  LinkKey Id = idOf(Host, A.Gate, A.Id);
+  if (!alive(B, keyOf(Host, A.Gate, A.Connection))) {
+    S.InFlight.erase(Id);
+    return;
+  }
+  SearchReply Refusal;
+  Refusal.Type = SearchReply::Kind::Refused;
+  if (S.State == ReportedState::Draining && Broken != Break::DrainIgnored)
+    Refusal.Reason = RefusalReason::Draining;
+  else if (S.InFlight.size() > S.Bears)
+    Refusal.Reason = RefusalReason::Shed;
+  else if (A.Work.Snapshot.text() != S.Snapshot && B % 2 == 1)
+    Refusal.Reason = RefusalReason::UnknownSnapshot;
+  if (Refusal.Reason != RefusalReason::None) {
+    S.InFlight.erase(Id);
+    reply(Host, B, A, Refusal);
+    return;
+  }
+  S.InFlight[Id] = A;
+  Event E{Time.Now, EventKind::Start, name(B).text(), *A.Work.Query};
+  E.Snapshot = A.Work.Snapshot.text();
+  E.Shards = A.Work.Shards;
+  Seen.add(std::move(E));
+  if (A.Work.Query->rfind("crash", 0) == 0) {
+    ++Seen.Crashes;
+    kill(B, CrashDown);
+    return;
+  }
+  Duration Run = Time.Now < S.SlowUntil ? Duration(SlowTime) : ServiceTime;
+  uint64_t Process = S.Process;
+  Time.after(Run, [=] {
+    if (Servers[B].Up && Servers[B].Process == Process)
+      finish(Host, B, A);
+  });
+}
+
+void FakeBackends::finish(size_t Host, size_t B, const SendSearch &A) {
+  if (Servers[B].InFlight.erase(idOf(Host, A.Gate, A.Id)) == 0)
+    return;
+  LinkKey Key = keyOf(Host, A.Gate, A.Connection);
+  if (!LoseReply.empty() && LoseReply == *A.Work.Query) {
+    LoseReply.clear();
+    Seen.add({Time.Now, EventKind::Note, name(B).text(), *A.Work.Query,
+              "reply lost"});
+    lose(B, Key);
+    if (OnReplyLost)
+      OnReplyLost();
+    return;
+  }
+  SearchReply Answer;
+  Answer.Body = answerBody(B, A.Work);
+  reply(Host, B, A, std::move(Answer));
+}
+
+std::string FakeBackends::answerBody(size_t B, const SubRequest &Work) const {
+  FakeAnswer Body;
+  Body.Snapshot = SnapshotId(Servers[B].Snapshot);
+  Body.Shards = Work.Shards;
+  Body.Request = *Work.Query;
+  return packBody(Body);
+}
+
+void FakeBackends::reply(size_t Host, size_t B, const SendSearch &A,
+                         SearchReply Answer) {
+  Answer.BackendIncarnation = Incarnation(Servers[B].Process);
+  Answer.State = status(B).State;
+  Answer.Bears = Servers[B].Bears;
+  LinkKey Key = keyOf(Host, A.Gate, A.Connection);
+  Time.after(Hop, [=] {
+    if (!alive(B, Key))
+      return;
+    Deliver(Host, [=](Dispatcher &D, DispatchActions &Out) {
+      BackendGate *Gate = D.gate(A.Gate);
+      if (!Gate)
+        return;
+      tell(B);
+      Gate->firstByte(A.Connection);
+      Gate->searchReplied(A.Connection, Answer, Time.Now, Out);
+    });
+    if (OnAnswered && Answer.Type == SearchReply::Kind::Answered)
+      OnAnswered(*A.Work.Query);
+  });
+}
+
+void FakeBackends::sendPastGate(size_t Host, size_t B, const SubRequest &Work,
+                                std::function<void(Reply)> OnReply) {
+  LinkKey Id = idOf(Host, GateId(), DispatchId(++PastGate));
+  noteSend(Id, B, Work);
+  Time.after(Hop + ServiceTime, [=] {
+    Servers[B].InFlight.erase(Id);
+    Reply Out;
+    Out.To = Work.Key;
+    Out.Outcome = DispatchOutcome::Answered;
+    Out.Body = answerBody(B, Work);
+    OnReply(Out);
+  });
+}
+
+} // namespace mimosa
