Print a listed red cell that holds again

Cause: an entry of KNOWN-RED.txt that is no longer true would go unnoticed. Change: the matrix test prints such a cell. Conclusion: no change of what is checked.

--- a/proof/fault_matrix_test.cpp
+++ b/proof/fault_matrix_test.cpp
@@ -28,10 +28,14 @@
     ++Ran;
     Outcome Result = runCell(C, Break::None);
     EXPECT_TRUE(Result.Reached) << C.name();
-    if (Result.Breaches.empty())
+    bool Listed = Red.find("cell: " + C.name() + "\n") != std::string::npos;
+    if (Result.Breaches.empty()) {
+      if (Listed)
+        std::printf("known red holds again: %s\n", C.name().c_str());
       continue;
+    }
     ++Failed;
-    if (Red.find("cell: " + C.name() + "\n") != std::string::npos) {
+    if (Listed) {
       ++Known;
       std::printf("known red: %s: %s\n", C.name().c_str(),
                   Result.Breaches[0].c_str());
