--- a/backend/latency_window.cpp
+++ b/backend/latency_window.cpp
@@ -68,7 +68,8 @@
   }
 
   /// \p Sums begins with the underflow bin and ends with the overflow bin.
-  /// Interpolates on the logarithmic scale within the bin of the quantile.
+  /// The upper edge of the bin of the quantile: within the bin latencies cannot
+  /// be told apart, and a delay below equal latencies would hedge all of them.
   Duration quantile(const std::array<uint64_t, BinCount + 2> &Sums,
                     uint64_t Total) const {
     double Rank = Options.Quantile * static_cast<double>(Total);
@@ -76,16 +77,16 @@
     for (size_t I = 0; I <= BinCount; ++I) {
       auto Count = static_cast<double>(Sums[I]);
       if (Count > 0 && Below + Count >= Rank)
-        return binPoint(static_cast<int>(I) - 1, (Rank - Below) / Count);
+        return upperEdge(static_cast<int>(I) - 1);
       Below += Count;
     }
     return Duration(static_cast<int64_t>(HighestUs));
   }
 
-  Duration binPoint(int Bin, double Part) const {
+  Duration upperEdge(int Bin) const {
     if (Bin < 0)
       return Duration(static_cast<int64_t>(LowestUs));
-    double Us = Slices[0].axis(0).value(Bin + Part);
+    double Us = Slices[0].axis(0).value(Bin + 1);
     return Duration(std::llround(Us));
   }
 
--- a/backend/latency_window.h
+++ b/backend/latency_window.h
@@ -20,7 +20,9 @@
 /// Settings of a LatencyWindow.
 struct LatencyWindowOptions {
   /// Share of latencies that are below the hedge delay.
-  double Quantile = 0.95;
+  /// The 97th percentile leaves 2% of the extra-load budget of 5% for bursts;
+  /// at the 95th, hedges of healthy replies alone use it up.
+  double Quantile = 0.97;
   /// Lowest hedge delay.
   Duration Floor = Milliseconds(1);
   /// Hedge delay until \c MinSamples have been seen for the first time.
--- a/daemon/node_status.cpp
+++ b/daemon/node_status.cpp
@@ -150,6 +150,10 @@
     return Queries.quarantine().counters().OwnStrikes +
            Queries.quarantine().counters().PeerStrikes;
   });
+  Gauge("mimosa_hedges_denied_total",
+        [this] { return Queries.runner().counters().HedgesDenied; });
+  Gauge("mimosa_retries_denied_total",
+        [this] { return Queries.runner().counters().RetriesDenied; });
   Gauge("mimosa_queries_forwarded_total",
         [this] { return Forwards.forwarded(); });
 }
--- a/daemon/service_node.cpp
+++ b/daemon/service_node.cpp
@@ -93,9 +93,7 @@
             OnReply(std::move(Message));
           },
           [this](GateId Gate) { Dirty.insert(Gate); }),
-      ServedTimes(silenceWindow()) {
-  Ticks = Context.Loop.every(TickInterval, [this] { tick(); });
-}
+      ServedTimes(silenceWindow()) {}
 
 ServiceNode::~ServiceNode() = default;
 
@@ -192,6 +190,8 @@
         Context, Store, static_cast<DispatchControl &>(*this), Name,
         Settings.SubRequestLimit);
     Owner->setAliveHosts(Alive);
+    // A host that does not serve the service pays nothing for it.
+    Ticks = Context.Loop.every(TickInterval, [this] { tick(); });
   }
   if (Owner) {
     OwnershipPlacement Next;
--- a/dispatch/backend_gate_connections.cpp
+++ b/dispatch/backend_gate_connections.cpp
@@ -220,11 +220,15 @@
   // A late reply of the previous process, on one of its connections.
   if (C.Id < NewestPeer)
     return false;
-  if (BackendIncarnation != Incarnation())
-    ++Counters.Restarts;
+  bool IsRestart = BackendIncarnation != Incarnation();
   BackendIncarnation = Peer;
   NewestPeer = C.Id;
-  Limit.forget(Now);
+  if (IsRestart) {
+    ++Counters.Restarts;
+    Limit.restarted(Now);
+  } else {
+    Limit.forget(Now);
+  }
   endPreviousProcess(Now, Out);
   return true;
 }
--- a/dispatch/slot_limit.cpp
+++ b/dispatch/slot_limit.cpp
@@ -61,6 +61,11 @@
   fallTo(ColdLimit, Now);
 }
 
+void SlotLimit::restarted(MonotonicTime Now) {
+  forget(Now);
+  Restarted = true;
+}
+
 void SlotLimit::startCold(MonotonicTime Now) {
   fallTo(std::min({ColdLimit, Limit, ceiling()}), Now);
 }
@@ -71,7 +76,10 @@
     Known = true;
     State = NewState;
     Bears = NewBears;
-    fallTo(NewBears > 0 ? NewBears : ColdLimit, Now);
+    // A process that has just started can say that it is warm and is not.
+    bool Trusted = NewBears > 0 && !Restarted;
+    Restarted = false;
+    fallTo(Trusted ? NewBears : std::min(ColdLimit, ceiling()), Now);
     return;
   }
   takeAnnouncement(NewState, NewBears, Now);
--- a/dispatch/slot_limit.h
+++ b/dispatch/slot_limit.h
@@ -25,6 +25,9 @@
   /// The incarnation is unknown: falls to the cold limit, and nothing may be
   /// sent until statusSaid().
   void forget(MonotonicTime Now);
+  /// As forget(), because another process has taken the place of the one that
+  /// was known: it starts at the cold limit, whatever it announces.
+  void restarted(MonotonicTime Now);
   /// Falls to the cold limit; the incarnation stays known.
   void startCold(MonotonicTime Now);
   /// Takes a status reply; \p Bears is 0 if none is announced.
@@ -63,6 +66,7 @@
   uint32_t ColdLimit;
   uint32_t Limit;
   bool Known = false;
+  bool Restarted = false;
   ReportedState State = ReportedState::Serving;
   uint32_t Bears = 0;
 
--- a/query/session.cpp
+++ b/query/session.cpp
@@ -73,7 +73,7 @@
     place(Now, Out);
     if (!finished() && Phase == SessionPhase::Running)
       hedge(Now, Out);
-    if (!finished() && nothingLeftToDo())
+    if (!finished() && nothingLeftToDo(Now))
       finish(std::nullopt, Now, Out);
   }
   if (!finished())
@@ -85,15 +85,16 @@
          S.BackendLosses < MaxShardLosses;
 }
 
-bool QuerySession::nothingLeftToDo() const {
+bool QuerySession::nothingLeftToDo(MonotonicTime Now) const {
   if (InFlight > 0)
     return false;
   // Waiting cannot help a query that was refused as a whole while the budget
   // is spent; its caller can send it elsewhere.
   if (RetryDenied && RanSubs == 0 && UncertainSubs == 0)
     return true;
+  bool InGrace = Now < Options.Received + MissingReplicaGrace;
   return std::none_of(Shards.begin(), Shards.end(), [&](const ShardState &S) {
-    return waiting(S) && !S.NoReplica;
+    return waiting(S) && (!S.NoReplica || InGrace);
   });
 }
 
--- a/query/session.h
+++ b/query/session.h
@@ -47,6 +47,10 @@
 constexpr uint32_t QuarantineStrikes = 2;
 /// Backend servers that may be lost by one shard of a query.
 constexpr uint32_t MaxShardLosses = 2;
+/// Time from the arrival of a query for which it waits for a replica of a shard
+/// that has none. The hand-over of a partition leaves its backend servers
+/// without an owner for some 10 ms.
+constexpr Duration MissingReplicaGrace = Milliseconds(100);
 /// Starts of one query on another snapshot.
 constexpr uint32_t MaxRestarts = 2;
 
@@ -230,7 +234,7 @@
             QueryActions &Out);
   bool mayAsk(uint32_t Shard, uint32_t Backend) const;
   bool waiting(const ShardState &S) const;
-  bool nothingLeftToDo() const;
+  bool nothingLeftToDo(MonotonicTime Now) const;
   MonotonicTime wakeUp() const;
   void finish(std::optional<Error> Why, MonotonicTime Now, QueryActions &Out);
   Execution execution() const;
--- a/runtime/http_server.cpp
+++ b/runtime/http_server.cpp
@@ -1,6 +1,7 @@
 #include "runtime/asio_fiber.h"
 #include "runtime/http.h"
 
+#include <array>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <netinet/tcp.h>
@@ -15,6 +16,9 @@
 namespace {
 constexpr Duration AcceptRetryDelay = Milliseconds(20);
 constexpr size_t MaxHeaderBytes = 16 * 1024;
+/// What is read of a refused request after its answer.
+constexpr Duration DiscardTime = Milliseconds(500);
+constexpr size_t MaxDiscardedBytes = 16 << 20;
 } // namespace
 
 class HttpServerConnection;
@@ -53,6 +57,7 @@
   bool awaitFirstByte();
   bool readRequest(Parser &In);
   bool refuse(error_code Failure);
+  void discardRest();
   bool answer(const HttpResponse &Response, bool KeepAlive);
   bool handleRequest(Parser &In);
   void watchForLoss(const std::shared_ptr<CallerSignals> &Caller);
@@ -145,7 +150,26 @@
     Out.Body = errorBody(
         {ResultCode::BadJson, "malformed HTTP request: " + Failure.message()});
   }
-  return answer(Out, false);
+  answer(Out, false);
+  discardRest();
+  return false;
+}
+
+void HttpServerConnection::discardRest() {
+  // Closing with unread bytes resets the connection, and the caller would lose
+  // the answer (RFC 9112, 9.6).
+  error_code Ignored;
+  Stream.socket().shutdown(tcp::socket::shutdown_send, Ignored);
+  Stream.expires_after(DiscardTime);
+  std::array<char, 4096> Scratch;
+  for (size_t Seen = 0; Seen < MaxDiscardedBytes;) {
+    IoOutcome Out = awaitIo([&](auto Handler) {
+      Stream.async_read_some(asio::buffer(Scratch), std::move(Handler));
+    });
+    if (Out.Failure)
+      return;
+    Seen += Out.Bytes;
+  }
 }
 
 bool HttpServerConnection::readRequest(Parser &In) {
@@ -156,7 +180,8 @@
   // socket, and a slow sender is owed an answer.
   Subscription Deadline = Loop.after(Options.RequestTimeout, [&] {
     TimedOut = true;
-    Stream.socket().cancel();
+    error_code Ignored;
+    Stream.socket().cancel(Ignored);
   });
   Stream.expires_never();
   IoOutcome Read = awaitIo([&](auto Handler) {
@@ -215,7 +240,8 @@
   HttpResponse Response = Server.Handler.handle(Request, Latest);
   if (Watching) {
     WatchEnded.clear();
-    Stream.socket().cancel();
+    error_code Ignored;
+    Stream.socket().cancel(Ignored);
     while (Watching)
       WatchEnded.wait();
   }
--- a/runtime/metrics.cpp
+++ b/runtime/metrics.cpp
@@ -40,6 +40,13 @@
   return Out.empty() ? "" : "{" + Out + "}";
 }
 
+/// Counters that are read from elsewhere are named as such.
+bool isTotal(const std::string &Name) {
+  constexpr std::string_view Suffix = "_total";
+  return Name.size() > Suffix.size() &&
+         Name.compare(Name.size() - Suffix.size(), Suffix.size(), Suffix) == 0;
+}
+
 std::string numberText(double Value) {
   char Text[32];
   std::snprintf(Text, sizeof(Text), "%.9g", Value);
@@ -139,7 +146,7 @@
            std::to_string(Value->value()) + "\n";
   }
   for (const auto &[K, Read] : Gauges) {
-    TypeLine(K.first, "gauge");
+    TypeLine(K.first, isTotal(K.first) ? "counter" : "gauge");
     Out += K.first + labelText(K.second) + " " + numberText(Read()) + "\n";
   }
   for (const auto &[K, Value] : Histograms) {
--- a/runtime/peer_stream.cpp
+++ b/runtime/peer_stream.cpp
@@ -1,5 +1,6 @@
 #include "runtime/peer_stream.h"
 
+#include <array>
 #include <boost/endian/conversion.hpp>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -10,6 +11,13 @@
 
 constexpr size_t LengthBytes = 4;
 constexpr size_t ReadBytes = 64 * 1024;
+
+/// Shared by all connections of the thread: a buffer of its own for each of
+/// some hundred idle connections would be most of a daemon's memory.
+std::array<char, ReadBytes> &readBuffer() {
+  static thread_local std::array<char, ReadBytes> Buffer;
+  return Buffer;
+}
 // A peer that reads nothing must not make this process hold its frames.
 constexpr size_t MaxWaitingBytes = 16 << 20;
 // A peer that acknowledges nothing for so long has lost the connection.
@@ -44,6 +52,7 @@
   Open = true;
   error_code Ignored;
   Socket.set_option(tcp::no_delay(true), Ignored);
+  Socket.non_blocking(true, Ignored);
   setsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
              &UserTimeoutMs, sizeof(UserTimeoutMs));
 }
@@ -75,6 +84,8 @@
                     [Self = shared_from_this()](error_code Failure, size_t) {
                       if (Failure)
                         Self->close();
+                      Self->Writing.clear();
+                      Self->Writing.shrink_to_fit();
                       Self->flush();
                     });
 }
@@ -83,15 +94,18 @@
   std::string Bytes;
   size_t Begin = 0;
   while (Open) {
-    size_t Had = Bytes.size();
-    Bytes.resize(Had + ReadBytes);
-    IoOutcome Out = awaitIo([&](auto Handler) {
-      Socket.async_read_some(asio::buffer(&Bytes[Had], ReadBytes),
-                             std::move(Handler));
+    IoOutcome Ready = awaitIo([&](auto Handler) {
+      Socket.async_wait(tcp::socket::wait_read, std::move(Handler));
     });
-    Bytes.resize(Had + Out.Bytes);
-    if (Out.Failure)
+    if (Ready.Failure || !Open)
+      break;
+    error_code Failure;
+    size_t Count = Socket.read_some(asio::buffer(readBuffer()), Failure);
+    if (Failure == asio::error::would_block)
+      continue;
+    if (Failure)
       break;
+    Bytes.append(readBuffer().data(), Count);
     LastUse = Loop.now();
     while (Open && Bytes.size() - Begin >= LengthBytes) {
       uint32_t Length = frameLength(Bytes, Begin);
@@ -117,6 +131,8 @@
     }
     Bytes.erase(0, Begin);
     Begin = 0;
+    if (Bytes.empty())
+      Bytes.shrink_to_fit();
   }
   close();
 }
