--- a/query/session_test.cpp
+++ b/query/session_test.cpp
@@ -256,16 +256,23 @@
 }
 
 // Guards against starting a request that runs at most once when it is known
-// that it cannot be complete, and against waiting for shards without replicas.
+// that it cannot be complete, and against waiting for shards without replicas
+// for longer than the hand-over of a partition takes.
 TEST(QuerySession, ShardsWithoutReplicas) {
   for (bool Idempotent : {true, false}) {
     Rig R(2, 1);
     R.Source.Replicas["v1"][1].clear();
     R.Options.Idempotent = Idempotent;
+    R.Options.Deadline = at(1000);
     R.start();
     EXPECT_EQ(R.Out.Sends.size(), Idempotent ? 1U : 0U);
     if (Idempotent)
       R.answer(SubRequestSend(R.Out.Sends.at(0)), 1);
+    if (Idempotent) {
+      R.Session->onTimer(at(99), R.Out);
+      EXPECT_FALSE(R.Out.Answer);
+      R.Session->onTimer(at(101), R.Out);
+    }
     ASSERT_TRUE(R.Out.Answer);
     EXPECT_EQ(R.Out.Answer->Code,
               Idempotent ? ResultCode::Partial : ResultCode::NoBackend);
