--- a/daemon/membership_driver.cpp
+++ b/daemon/membership_driver.cpp
@@ -50,10 +50,10 @@
 
 template <typename T> bool MembershipDriver::take(const PeerFrame &Frame) {
   Result<T> Message = unpackBody<T>(Frame.Body);
-  if (ok(Message))
-    perform(
-        Protocol.onMessage(valueOf(std::move(Message)), Context.Loop.now()));
-  return ok(Message);
+  if (!ok(Message))
+    return false;
+  perform(Protocol.onMessage(valueOf(Message), Context.Loop.now()));
+  return true;
 }
 
 bool MembershipDriver::handleFrame(const PeerFrame &Frame) {
