Hand partitions over before a leaving host releases them

Cause: a leaving host released its partitions before the others knew that it was leaving, so no successor asked for them until the news had spread; it also got no reports of the new owners any more, while callers with old addresses still used it. Queries gave up shards without an owner after 100 ms. Change: the leaving host hands its partitions over on request for 2 s and releases the rest afterwards; owners report to leaving hosts too.

--- a/daemon/node.cpp
+++ b/daemon/node.cpp
@@ -16,6 +16,8 @@
 /// Time that answers of other hosts may still name this one after it has told
 /// them that it is leaving.
 constexpr Duration LeaveSpread = Milliseconds(1500);
+/// Time for the hand-over of partitions to their next owners.
+constexpr Duration HandOverTime = Milliseconds(2000);
 
 uint64_t seedOf(const DaemonOptions &Options) {
   return Options.RandomSeed ? Options.RandomSeed : std::random_device()();
@@ -90,9 +92,13 @@
   Leaving = true;
   logInfo("node", "leaving: telling the other hosts");
   Members.leave();
+  MonotonicTime Start = Context.Loop.now();
+  // The other hosts learn of the leave and ask for the partitions; those that
+  // nobody asks for are released afterwards, which leaves a gap.
+  FiberLoop::sleepFor(HandOverTime);
+  ReleaseAll = true;
   for (auto &[Name, Service] : Services)
     Service->leave();
-  MonotonicTime Start = Context.Loop.now();
   MonotonicTime Served = Start + Options.AddressLifetime + LeaveSpread;
   MonotonicTime Limit = Served + Options.DrainLimit;
   auto Busy = [this] {
@@ -158,6 +164,10 @@
       ZoneHosts.push_back(One.Host);
   Configs.setZoneHosts(ZoneHosts);
   std::vector<HostId> Alive = aliveHosts();
+  std::vector<HostId> LeavingHosts;
+  for (const Member &One : Present)
+    if (One.State == MemberState::Leaving)
+      LeavingHosts.push_back(One.Host);
   const Config &Document = *Configs.config();
   Queries.configure(Document);
   Queries.claims().setDaemonCount(Present.size());
@@ -166,6 +176,7 @@
       configureService(One, Document);
   for (auto &[Name, Service] : Services) {
     Service->setAliveHosts(Alive);
+    Service->setLeavingHosts(LeavingHosts);
     if (!Document.service(Name))
       Service->retire();
   }
@@ -192,7 +203,7 @@
         });
   }
   Slot->configure(Document, Placed);
-  if (Leaving)
+  if (ReleaseAll)
     Slot->leave();
 }
 
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -77,6 +77,8 @@
   std::unordered_map<ServiceId, std::unique_ptr<ServiceNode>> Services;
   bool PlacementDirty = false;
   bool Leaving = false;
+  /// Nothing is to be owned any more.
+  bool ReleaseAll = false;
   Subscription PlacementTicks;
   Subscription SeedRefresh;
 };
--- a/daemon/service_node.cpp
+++ b/daemon/service_node.cpp
@@ -369,9 +369,11 @@
     NextFullReport = Now + FullReportInterval;
   reported(Report);
   std::string Body = packBody(Report);
-  for (const HostId &Host : Hosts)
-    if (Host != Context.Self.Host)
-      Context.Peers.send(Host, MessageType::BackendSummary, Body);
+  std::set<HostId> Receivers(Hosts.begin(), Hosts.end());
+  Receivers.insert(LeavingHosts.begin(), LeavingHosts.end());
+  Receivers.erase(Context.Self.Host);
+  for (const HostId &Host : Receivers)
+    Context.Peers.send(Host, MessageType::BackendSummary, Body);
 }
 
 } // namespace mimosa
--- a/daemon/service_node.h
+++ b/daemon/service_node.h
@@ -36,6 +36,11 @@
   /// fibers of its connections may still run.
   void retire();
   void setAliveHosts(const std::vector<HostId> &Hosts);
+  /// Hosts that are leaving; they still serve callers with old addresses and
+  /// have to know the owners.
+  void setLeavingHosts(std::vector<HostId> Leaving) {
+    LeavingHosts = std::move(Leaving);
+  }
   /// \p Host is dead.
   void hostGone(const HostId &Host);
   void paused();
@@ -94,6 +99,7 @@
   std::unique_ptr<OwnershipDriver> Owner;
   std::vector<HostId> Hosts;
   std::vector<HostId> Alive;
+  std::vector<HostId> LeavingHosts;
   bool ServedHere = false;
   /// Backend servers of the own region by partition.
   std::map<Partition, uint32_t> BackendsIn;
