Add at-most-once claims

Records are create-only under consecutive sequences, so hosts that all believe to be the owner cannot write beside each other.

--- /dev/null
+++ b/claim/claim_log.h
@@ -0,0 +1,103 @@
+// The claim log of one service in memory. Every owner applies the same records
+// in the same order, so all owners agree on the holder of each key: the first
+// nonce that claims it, until that nonce is released.
+//
+//   ClaimLog Log;
+//   Log.append(Sequence, Record);
+//   if (const ClaimState *State = Log.find(digestOf(Key.text())))
+//     ...
+//
+// A claim takes two 16-byte digests and a few words, whatever its key's length.
+
+#ifndef MIMOSA_CLAIM_CLAIM_LOG_H
+#define MIMOSA_CLAIM_CLAIM_LOG_H
+
+#include "base/time.h"
+#include "claim/claim_record.h"
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace mimosa {
+
+/// What is known of one key.
+struct ClaimState {
+  /// The nonce that holds the claim, or that released it.
+  Digest Nonce;
+  /// The record that claimed or released the key.
+  uint64_t Sequence = 0;
+  /// Number of the ResultCode of the outcome; -1 while it is not known.
+  int Code = -1;
+  bool Released = false;
+};
+
+/// The records of one service, applied in order.
+class ClaimLog {
+public:
+  /// Applies \p Record; false, without an effect, if \p Sequence is not the
+  /// next one. An empty log takes any sequence.
+  bool append(uint64_t Sequence, const ClaimRecord &Record);
+
+  /// The state of \p Key; null if it was never claimed.
+  const ClaimState *find(const Digest &Key) const;
+
+  /// Notes the outcome of a claim; false if its nonce does not hold the key.
+  bool setOutcome(const OutcomeEntry &Entry);
+
+  /// The sequence of the next record; 1 for an empty log.
+  uint64_t nextSequence() const { return Next; }
+
+  /// Keys in memory.
+  size_t size() const { return States.size(); }
+
+  /// The oldest record if it is older than \p Retention at \p NowMs, in
+  /// milliseconds since 1970. The newest record never expires: a log without
+  /// records would start again at sequence 1, and an owner that still knows the
+  /// old sequence could then write beside the new one.
+  std::optional<uint64_t> expired(int64_t NowMs, Duration Retention) const;
+
+  /// Forgets the oldest record and the keys that no later record changed.
+  void dropOldest();
+
+  void clear();
+
+private:
+  struct AppliedRecord {
+    uint64_t Sequence;
+    int64_t TimeMs;
+    std::vector<Digest> Keys;
+  };
+
+  void release(const ClaimPair &Pair, AppliedRecord &Applied);
+  void claim(const ClaimPair &Pair, AppliedRecord &Applied);
+
+  std::unordered_map<Digest, ClaimState, DigestHash> States;
+  std::deque<AppliedRecord> Records;
+  uint64_t Next = 1;
+};
+
+/// The answers of recent requests by the nonce of their claim, oldest dropped
+/// first beyond a limit.
+class AnswerMemory {
+public:
+  explicit AnswerMemory(size_t MostBytes) : MostBytes(MostBytes) {}
+
+  void add(const Digest &Nonce, std::string Answer);
+  /// The answer of \p Nonce; empty if it is not kept.
+  std::string find(const Digest &Nonce) const;
+  void clear();
+
+private:
+  size_t MostBytes;
+  size_t Bytes = 0;
+  std::unordered_map<Digest, std::string, DigestHash> Answers;
+  std::deque<Digest> Order;
+};
+
+} // namespace mimosa
+
+#endif // MIMOSA_CLAIM_CLAIM_LOG_H
--- /dev/null
+++ b/claim/module.cmake
@@ -0,0 +1,1 @@
+mimosa_module(claim mimosa_base mimosa_platform)
