--- a/runtime/asio_fiber.cpp
+++ b/runtime/asio_fiber.cpp
@@ -60,4 +60,22 @@
   return tcp::endpoint(Ip, Port);
 }
 
+Result<Done> listenOn(tcp::acceptor &Acceptor, const std::string &Address) {
+  Result<tcp::endpoint> Endpoint = parseEndpoint(Address);
+  if (!ok(Endpoint))
+    return errorOf(Endpoint);
+  error_code Failure;
+  Acceptor.open(valueOf(Endpoint).protocol(), Failure);
+  if (!Failure)
+    Acceptor.set_option(asio::socket_base::reuse_address(true), Failure);
+  if (!Failure)
+    Acceptor.bind(valueOf(Endpoint), Failure);
+  if (!Failure)
+    Acceptor.listen(asio::socket_base::max_listen_connections, Failure);
+  if (Failure)
+    return Error{ResultCode::BadSetting,
+                 "listening on " + Address + " failed: " + Failure.message()};
+  return Done{};
+}
+
 } // namespace mimosa
--- a/runtime/asio_fiber.h
+++ b/runtime/asio_fiber.h
@@ -81,6 +81,9 @@
 /// The endpoint of "ip:port"; fails with BadSetting.
 Result<tcp::endpoint> parseEndpoint(std::string_view Address);
 
+/// Opens \p Acceptor on \p Address, "ip:port"; fails with BadSetting.
+Result<Done> listenOn(tcp::acceptor &Acceptor, const std::string &Address);
+
 } // namespace mimosa
 
 #endif // MIMOSA_RUNTIME_ASIO_FIBER_H
--- a/runtime/http_server.cpp
+++ b/runtime/http_server.cpp
@@ -300,20 +300,9 @@
 HttpServer::~HttpServer() = default;
 
 Result<Done> HttpServer::start() {
-  auto Endpoint = parseEndpoint(State->Options.Address);
-  if (!ok(Endpoint))
-    return errorOf(Endpoint);
-  error_code Failure;
-  tcp::acceptor &Acceptor = State->Acceptor;
-  Acceptor.open(valueOf(Endpoint).protocol(), Failure);
-  Acceptor.set_option(asio::socket_base::reuse_address(true), Failure);
-  Acceptor.bind(valueOf(Endpoint), Failure);
-  if (!Failure)
-    Acceptor.listen(asio::socket_base::max_listen_connections, Failure);
-  if (Failure)
-    return Error{ResultCode::BadSetting, "listening on " +
-                                             State->Options.Address +
-                                             " failed: " + Failure.message()};
+  Result<Done> Listening = listenOn(State->Acceptor, State->Options.Address);
+  if (!ok(Listening))
+    return Listening;
   State->Loop.spawn([Shared = State] { Shared->acceptLoop(); });
   return Done{};
 }
