Serve the users' platform: mimosa-entry, its adapter and its decisions

Cause: the programs could not start on the users' platform, whose store, requests and settings have a form of their own.

--- /dev/null
+++ b/balance/backend_server.h
@@ -0,0 +1,112 @@
+// A backend server as one host sees it: what discovery says of it, and what
+// this host's own requests show of its speed and health.
+//
+// Speed is a moving average of latency relative to the typical latency of the
+// route, so that routes of unlike work share one figure. It drifts back to 1,
+// because a backend server that looks slow gets no requests that would put the
+// figure right. Failures in a row put a backend server aside for a while that
+// doubles; afterwards it is tried with one request at a time.
+
+#ifndef MIMOSA_BALANCE_BACKEND_SERVER_H
+#define MIMOSA_BALANCE_BACKEND_SERVER_H
+
+#include "base/ids.h"
+#include "base/time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace mimosa {
+
+/// A backend server's own description of itself.
+struct BackendServerEntry {
+  BackendServerId Id;
+  ServiceId Service;
+  /// "ip:port"
+  std::string Address;
+  AvailabilityZoneId Zone;
+  /// Requests that it runs at once.
+  uint32_t Slots = 1;
+  bool Draining = false;
+  /// How much longer it is cold.
+  Duration ColdLeft{0};
+  /// Start of its process in Unix milliseconds; 0 if it did not say.
+  int64_t BornMs = 0;
+  /// Grows with each report of one process.
+  uint64_t Sequence = 0;
+};
+
+/// How a request to a backend server failed.
+enum class BackendFailure {
+  /// No connection, a reset, or no answer in time.
+  Down,
+  /// It declined the request because it is full.
+  Shed,
+  /// It answered with a failure or with bytes that are no answer.
+  BadAnswer,
+};
+
+/// See the head of this file. All methods take a time that does not go back.
+class BackendServer {
+public:
+  explicit BackendServer(BackendServerEntry Entry) : Entry(std::move(Entry)) {}
+
+  const BackendServerEntry &entry() const { return Entry; }
+  /// Takes over a newer description.
+  void describe(BackendServerEntry NewEntry, MonotonicTime Now);
+
+  /// Neither draining nor removed.
+  bool listed() const { return !Removed && !Entry.Draining; }
+  void remove() { Removed = true; }
+  bool cold(MonotonicTime Now) const { return Now < ColdUntil; }
+
+  void sent(MonotonicTime Now);
+  /// Notes the end of a request sent at \p SentAt, whatever its outcome.
+  void ended(MonotonicTime SentAt);
+  /// Notes a latency of \p Relative times what is typical.
+  void answered(double Relative, MonotonicTime Now);
+  /// Notes that a request has taken \p Relative times what is typical and has
+  /// not ended.
+  void stalled(double Relative, MonotonicTime Now);
+  void failed(BackendFailure Failure, MonotonicTime Now);
+
+  uint32_t inFlight() const { return static_cast<uint32_t>(SentTimes.size()); }
+  /// Expected latency relative to what is typical, for one more request.
+  /// \p Typical is used to judge how long requests have been in flight.
+  double cost(Duration Typical, MonotonicTime Now) const;
+  double speed(MonotonicTime Now) const;
+  /// Set aside after failures.
+  bool suspect() const { return FailuresInRow >= SuspectAfter; }
+  /// A suspect that may be tried again with one request.
+  bool trialDue(MonotonicTime Now) const {
+    return SentTimes.empty() && Now >= RetryAt;
+  }
+  MonotonicTime retryAt() const { return RetryAt; }
+
+  /// Sends to a cold backend server in the running second; see CallScheduler.
+  uint32_t sentThisSecond(MonotonicTime Now) const;
+
+private:
+  static constexpr uint32_t SuspectAfter = 2;
+
+  double failShare(MonotonicTime Now) const;
+
+  BackendServerEntry Entry;
+  bool Removed = false;
+  MonotonicTime ColdUntil;
+  double Speed = 1;
+  MonotonicTime SpeedAt;
+  double FailShare = 0;
+  MonotonicTime FailAt;
+  uint32_t FailuresInRow = 0;
+  MonotonicTime RetryAt;
+  /// When the requests in flight were sent, oldest first.
+  std::vector<MonotonicTime> SentTimes;
+  /// Sends of the last second while cold, oldest first.
+  std::vector<MonotonicTime> RecentSends;
+};
+
+} // namespace mimosa
+
+#endif // MIMOSA_BALANCE_BACKEND_SERVER_H
--- /dev/null
+++ b/balance/module.cmake
@@ -0,0 +1,1 @@
+mimosa_module(balance mimosa_base mimosa_routing)
--- /dev/null
+++ b/balance/server_registry.h
@@ -0,0 +1,108 @@
+// The backend servers that discovery knows, by service, and the choice among
+// them.
+//
+//   Registry.put(Entry, Now);             // from discovery
+//   Registry.setZoneOut(Zone, true);      // operators evacuate a zone
+//   Registry.choose(Service, Wanted, Now);
+//
+// Reports of one process are ordered by its start and its sequence: a report
+// that arrives late changes nothing.
+
+#ifndef MIMOSA_BALANCE_SERVER_REGISTRY_H
+#define MIMOSA_BALANCE_SERVER_REGISTRY_H
+
+#include "balance/backend_server.h"
+#include "base/random.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace mimosa {
+
+using BackendServerPtr = std::shared_ptr<BackendServer>;
+
+/// What is asked of a backend server.
+struct ServerWanted {
+  /// Typical latency of the route.
+  Duration Typical = Milliseconds(20);
+  /// Backend servers that have been tried.
+  const std::vector<BackendServerPtr> *Tried = nullptr;
+  /// Only a backend server that is not suspect and is expected to be fast.
+  bool HealthyOnly = false;
+};
+
+/// Whether a service can take a request now.
+enum class ServiceState {
+  /// No backend server is listed, or all failed and are set aside.
+  Unavailable,
+  /// All that could take it have as many requests as they may have.
+  Full,
+  Available,
+};
+
+class ServerRegistry {
+public:
+  ServerRegistry(AvailabilityZoneId OwnZone, Random &Rng)
+      : OwnZone(std::move(OwnZone)), Rng(Rng) {}
+
+  /// Takes over \p Entry; false if it is older than what is known.
+  bool put(BackendServerEntry Entry, MonotonicTime Now);
+  /// The backend server is gone; false if it was not known.
+  bool remove(const BackendServerId &Id);
+  /// Removes all but \p Kept.
+  void retain(const std::set<BackendServerId> &Kept);
+  void setZonesOut(std::set<AvailabilityZoneId> Zones);
+
+  /// Entry hosts that share the backend servers, at least 1.
+  void setHosts(uint32_t Count) { Hosts = Count; }
+  uint32_t hosts() const { return Hosts; }
+  void setLimits(const ServiceId &Service, uint32_t MaxConnections,
+                 double ColdRate);
+  /// Sends to a cold backend server within a second, from all hosts, beyond
+  /// its rate: factor and constant.
+  void setColdAllowance(double Overage, double Slack);
+
+  /// The backend server for one more request; null if there is none now.
+  BackendServerPtr choose(const ServiceId &Service, const ServerWanted &Wanted,
+                          MonotonicTime Now) const;
+  ServiceState state(const ServiceId &Service, MonotonicTime Now) const;
+
+  /// Requests that this host may have in flight to \p Server.
+  uint32_t inFlightLimit(const BackendServer &Server) const;
+  /// Connections that this host may hold to \p Server.
+  uint32_t connectionLimit(const BackendServer &Server) const;
+  /// May be sent requests: listed, and its zone is not taken out.
+  bool usable(const BackendServer &Server) const;
+
+  const std::vector<BackendServerPtr> &servers(const ServiceId &Service) const;
+  size_t size() const { return ById.size(); }
+  BackendServerPtr find(const BackendServerId &Id) const;
+
+private:
+  struct Limits {
+    uint32_t MaxConnections = 1;
+    double ColdRate = 0;
+  };
+
+  const Limits &limitsOf(const ServiceId &Service) const;
+  bool hasRoom(const BackendServer &Server, MonotonicTime Now) const;
+  double rank(const BackendServer &Server, const ServerWanted &Wanted,
+              MonotonicTime Now) const;
+  void detach(const BackendServerPtr &Server);
+
+  AvailabilityZoneId OwnZone;
+  Random &Rng;
+  uint32_t Hosts = 1;
+  double ColdOverage = 1.5;
+  double ColdSlack = 5;
+  std::unordered_map<BackendServerId, BackendServerPtr> ById;
+  std::unordered_map<ServiceId, std::vector<BackendServerPtr>> ByService;
+  std::unordered_map<ServiceId, Limits> ServiceLimits;
+  std::set<AvailabilityZoneId> ZonesOut;
+};
+
+} // namespace mimosa
+
+#endif // MIMOSA_BALANCE_SERVER_REGISTRY_H
--- /dev/null
+++ b/base/http_header.h
@@ -0,0 +1,25 @@
+// Header fields of HTTP messages.
+
+#ifndef MIMOSA_BASE_HTTP_HEADER_H
+#define MIMOSA_BASE_HTTP_HEADER_H
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace mimosa {
+
+/// One header field as it came or is to be sent.
+struct HttpHeader {
+  std::string Name;
+  std::string Value;
+};
+
+/// The value of the first header called \p Name (in any case); null if there
+/// is none.
+const std::string *findHeader(const std::vector<HttpHeader> &Headers,
+                              std::string_view Name);
+
+} // namespace mimosa
+
+#endif // MIMOSA_BASE_HTTP_HEADER_H
--- /dev/null
+++ b/entry/entry_main.cpp
@@ -0,0 +1,66 @@
+// mimosa-entry: the entry daemon for the users' platform.
+
+#include "entry/entry_node.h"
+#include "runtime/file_changes.h"
+#include "runtime/log.h"
+
+#include <cstdio>
+#include <cstdlib>
+#include <random>
+
+namespace {
+
+/// The settings file may change without a signal.
+constexpr mimosa::Duration SettingsCheckInterval = mimosa::Seconds(2);
+
+/// Reads the settings again; a problem leaves them as they are.
+void reload(mimosa::EntryNode &Node, int Argc, char **Argv) {
+  std::optional<int> Problem;
+  mimosa::EntryOptions Options =
+      mimosa::parseEntryOptions(Argc, Argv, &Problem);
+  if (Problem)
+    mimosa::logError("node", "event=reload_failed");
+  else
+    Node.reload(Options);
+}
+
+int serve(mimosa::FiberLoop &Loop, const mimosa::EntryOptions &Options,
+          int Argc, char **Argv) {
+  std::random_device Entropy;
+  mimosa::EntryNode Node(Loop, Options, Entropy());
+  mimosa::Result<mimosa::Done> Started = Node.start();
+  if (!ok(Started)) {
+    mimosa::logError("node", errorOf(Started).Message);
+    mimosa::flushLog();
+    return 2;
+  }
+  Loop.onReload([&] { reload(Node, Argc, Argv); });
+  mimosa::FileChanges Settings(Options.SettingsFile);
+  mimosa::Subscription Check = Loop.every(SettingsCheckInterval, [&] {
+    if (Settings.changed())
+      reload(Node, Argc, Argv);
+  });
+  Loop.waitForStop();
+  Node.stop();
+  std::_Exit(0);
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  std::optional<int> Exit;
+  mimosa::EntryOptions Options = mimosa::parseEntryOptions(Argc, Argv, &Exit);
+  if (Exit)
+    return *Exit;
+  mimosa::Result<mimosa::Done> LogReady =
+      mimosa::configureLog(Options.LogLevel, mimosa::LogSink::BufferedOutput);
+  if (!ok(LogReady)) {
+    std::fprintf(stderr, "mimosa-entry: %s\n",
+                 errorOf(LogReady).Message.c_str());
+    return 2;
+  }
+  int Status = 0;
+  mimosa::FiberLoop Loop;
+  Loop.run([&] { Status = serve(Loop, Options, Argc, Argv); });
+  std::_Exit(Status);
+}
--- /dev/null
+++ b/entry/entry_node.cpp
@@ -0,0 +1,222 @@
+#include "entry/entry_node.h"
+
+#include "runtime/log.h"
+
+#include <algorithm>
+
+namespace mimosa {
+
+namespace {
+
+constexpr Duration LogFlushInterval = Milliseconds(200);
+/// Parts of the stop limit: callers keep addresses for 2 s, some three times as
+/// long; requests that are in flight when new ones are refused must end before
+/// the process is killed.
+constexpr double ServeShare = 0.62;
+constexpr double FinishShare = 0.93;
+constexpr Duration StopPoll = Milliseconds(20);
+/// Descriptors that are not for callers' connections.
+constexpr size_t OwnDescriptors = 600;
+/// Requests that a caller sends on kept connections right after a change of
+/// the idle timeout must not meet a close.
+constexpr Duration IdleSlack = Seconds(2);
+
+} // namespace
+
+HttpServerOptions EntryNode::serverOptions(const std::string &Address) const {
+  HttpServerOptions Out;
+  Out.Address = Address;
+  Out.MaxConnections = Options.MaxDescriptors > 2 * OwnDescriptors
+                           ? Options.MaxDescriptors - OwnDescriptors
+                           : Options.MaxDescriptors / 2;
+  return Out;
+}
+
+EntryNode::EntryNode(FiberLoop &Loop, EntryOptions NewOptions, uint64_t Seed)
+    : Loop(Loop), Options(std::move(NewOptions)),
+      Rng(Seed), Self{Options.HostName, Options.CallerAddress, Options.Zone},
+      Registry(Options.Zone, Rng), Channels(Loop, Registry),
+      Calls(Registry, Channels), Service(Loop, Registry, Calls, Metrics, Rng),
+      Directory(Self, Options.AddressLifetime, Rng),
+      Store(Loop, Options.StoreAddress), Feed(Loop, Store, Self, *this),
+      Pages(Directory), MetricsHandler(*this),
+      Callers(Loop, serverOptions(Options.CallerAddress), Service),
+      ReadyServer(Loop, serverOptions(Options.ReadyAddress), Pages),
+      DirectoryServer(Loop, serverOptions(Options.DirectoryAddress), Pages) {
+  Channels.reportTo(Calls);
+  Calls.onEarlierWake([this] { TimerChanged.set(); });
+  if (!Options.MetricsAddress.empty())
+    MetricsServer = std::make_unique<HttpServer>(
+        Loop, serverOptions(Options.MetricsAddress), MetricsHandler);
+  applySettings();
+  registerGauges();
+}
+
+void EntryNode::applySettings() {
+  Calls.setRetryBudget(Options.RetryBudget);
+  Registry.setColdAllowance(Options.ColdOverage, Options.ColdSlack);
+}
+
+void EntryNode::registerGauges() {
+  auto Gauge = [this](const char *Name, auto Read) {
+    Metrics.gauge(Name, {},
+                  [this, Read] { return static_cast<double>(Read(*this)); });
+  };
+  using N = EntryNode;
+  Gauge("mimosa_calls_total", [](N &S) { return S.Calls.counters().Calls; });
+  Gauge("mimosa_sends_total", [](N &S) { return S.Calls.counters().Sends; });
+  Gauge("mimosa_hedges_total", [](N &S) { return S.Calls.counters().Hedges; });
+  Gauge("mimosa_hedges_won_total",
+        [](N &S) { return S.Calls.counters().HedgesWon; });
+  Gauge("mimosa_retries_total",
+        [](N &S) { return S.Calls.counters().Retries; });
+  Gauge("mimosa_retry_budget_refused_total",
+        [](N &S) { return S.Calls.counters().BudgetRefused; });
+  Gauge("mimosa_calls_waited_total",
+        [](N &S) { return S.Calls.counters().Waited; });
+  Gauge("mimosa_calls_lost_total",
+        [](N &S) { return S.Calls.counters().Lost; });
+  Gauge("mimosa_calls_shed_total",
+        [](N &S) { return S.Calls.counters().Shed; });
+  Gauge("mimosa_calls_expired_total",
+        [](N &S) { return S.Calls.counters().Expired; });
+  Gauge("mimosa_calls_unavailable_total",
+        [](N &S) { return S.Calls.counters().Unavailable; });
+  Gauge("mimosa_calls_overloaded_total",
+        [](N &S) { return S.Calls.counters().Overloaded; });
+  Gauge("mimosa_backend_connections_opened_total",
+        [](N &S) { return S.Channels.counters().Opened; });
+  Gauge("mimosa_backend_connections", [](N &S) { return S.Channels.open(); });
+  Gauge("mimosa_backend_servers", [](N &S) { return S.Registry.size(); });
+  Gauge("mimosa_sharing_hosts", [](N &S) { return S.Registry.hosts(); });
+  Gauge("mimosa_requests_in_flight", [](N &S) { return S.Service.inFlight(); });
+  Gauge("mimosa_store_failures_total",
+        [](N &S) { return S.Store.counters().Failures; });
+  Gauge("mimosa_store_watches_total",
+        [](N &S) { return S.Store.counters().Watches; });
+  Gauge("mimosa_store_ranges_total",
+        [](N &S) { return S.Store.counters().Ranges; });
+  Gauge("mimosa_log_dropped_total", [](N &) { return logCounters().Dropped; });
+  Gauge("mimosa_log_suppressed_total",
+        [](N &) { return logCounters().Suppressed; });
+}
+
+Result<Done> EntryNode::start() {
+  for (HttpServer *Server : {&Callers, &ReadyServer, &DirectoryServer}) {
+    Result<Done> Started = Server->start();
+    if (!ok(Started))
+      return Started;
+  }
+  if (MetricsServer) {
+    Result<Done> Started = MetricsServer->start();
+    if (!ok(Started))
+      return Started;
+  }
+  Loop.spawn([this] { runTimers(); });
+  Second = Loop.every(Seconds(1), [this] { onSecond(); });
+  LogFlush = Loop.every(LogFlushInterval, [] { flushLog(); });
+  Feed.start();
+  logInfo("node", "event=started host=" + Options.HostName +
+                      " zone=" + Options.Zone.text() + " callers=" +
+                      Options.CallerAddress + " store=" + Options.StoreAddress);
+  return Done{};
+}
+
+void EntryNode::runTimers() {
+  while (true) {
+    MonotonicTime At = Calls.nextWake();
+    TimerChanged.clear();
+    if (At == MonotonicTime::max())
+      TimerChanged.wait();
+    else
+      TimerChanged.waitUntil(At);
+    Calls.onTime(Loop.now());
+  }
+}
+
+void EntryNode::onSecond() {
+  Registry.setHosts(Directory.sharingHosts(Loop.now()));
+  Channels.sweep();
+}
+
+void EntryNode::routingChanged(RoutingConfig Config) {
+  logInfo("node",
+          "event=config_applied version=" + std::to_string(Config.Version) +
+              " routes=" + std::to_string(Config.Routes.size()));
+  const CallerLimits &Limits = Config.Limits;
+  Callers.setLimits(Limits.MaxHeaderBytes, Limits.MaxBodyBytes,
+                    Limits.HeaderTimeout, Limits.IdleTimeout + IdleSlack);
+  for (const auto &[Id, S] : Config.Services)
+    Registry.setLimits(Id, S.MaxConnections, S.ColdRate);
+  Service.setRoutes(std::make_shared<const RouteTable>(std::move(Config)));
+  Directory.setConfigured();
+}
+
+void EntryNode::serverChanged(BackendServerEntry Entry) {
+  std::string Line =
+      "server=" + Entry.Id.text() + " service=" + Entry.Service.text() +
+      " draining=" + (Entry.Draining ? "1" : "0") +
+      " cold_ms=" + std::to_string(inMilliseconds(Entry.ColdLeft)) +
+      " sequence=" + std::to_string(Entry.Sequence);
+  bool Taken = Registry.put(std::move(Entry), Loop.now());
+  logInfo("node",
+          (Taken ? "event=server_listed " : "event=server_stale ") + Line);
+}
+
+void EntryNode::serverGone(const BackendServerId &Id) {
+  Registry.remove(Id);
+  logInfo("node", "event=server_gone server=" + Id.text());
+}
+
+void EntryNode::zonesOutChanged(std::set<AvailabilityZoneId> Zones) {
+  std::string Names;
+  for (const AvailabilityZoneId &Zone : Zones)
+    Names += (Names.empty() ? "" : ",") + Zone.text();
+  logInfo("node", "event=zones_out zones=" + Names);
+  Registry.setZonesOut(std::move(Zones));
+}
+
+void EntryNode::hostsChanged(std::vector<EntryHost> Hosts) {
+  logInfo("node", "event=hosts_listed hosts=" + std::to_string(Hosts.size()));
+  Directory.setHosts(std::move(Hosts), Loop.now());
+  Registry.setHosts(Directory.sharingHosts(Loop.now()));
+}
+
+void EntryNode::storeReachable(bool Reachable, const std::string &Why) {
+  if (Reachable)
+    logInfo("node", "event=store_regained");
+  else
+    logWarn("node", "event=store_lost reason=\"" + Why + "\"");
+}
+
+void EntryNode::reload(const EntryOptions &NewOptions) {
+  Options.RetryBudget = NewOptions.RetryBudget;
+  Options.ColdOverage = NewOptions.ColdOverage;
+  Options.ColdSlack = NewOptions.ColdSlack;
+  Options.StopLimit = NewOptions.StopLimit;
+  applySettings();
+  logInfo("node", "event=reloaded");
+}
+
+void EntryNode::stop() {
+  MonotonicTime Begin = Loop.now();
+  auto Share = [&](double Part) {
+    return Begin + Duration(static_cast<int64_t>(
+                       static_cast<double>(Options.StopLimit.count()) * Part));
+  };
+  logInfo("node",
+          "event=stopping in_flight=" + std::to_string(Service.inFlight()));
+  Directory.setLeaving();
+  Feed.withdraw();
+  Callers.closeAfterAnswers();
+  while (Loop.now() < Share(ServeShare))
+    FiberLoop::sleepFor(StopPoll);
+  Service.refuseNew();
+  while (Callers.inFlight() > 0 && Loop.now() < Share(FinishShare))
+    FiberLoop::sleepFor(StopPoll);
+  logInfo("node",
+          "event=stopped in_flight=" + std::to_string(Callers.inFlight()));
+  flushLog();
+}
+
+} // namespace mimosa
--- /dev/null
+++ b/entry/entry_options.cpp
@@ -0,0 +1,62 @@
+#include "entry/entry_options.h"
+
+#include "runtime/settings.h"
+
+#include <algorithm>
+
+namespace mimosa {
+
+EntryOptions parseEntryOptions(int Argc, const char *const *Argv,
+                               std::optional<int> *Exit) {
+  EntryOptions Out;
+  std::string Zone;
+  int64_t AddressLifetimeS = Out.AddressLifetime / Seconds(1);
+  int64_t LongestLifetimeS = 5;
+  int64_t StopLimitMs = inMilliseconds(Out.StopLimit);
+  int64_t WindowMs = inMilliseconds(Out.RetryBudget.Window);
+  auto Descriptors = static_cast<int64_t>(Out.MaxDescriptors);
+  Settings Parser("mimosa-entry", "entry daemon of mimosawall for searches "
+                                  "whose configuration the platform holds");
+  Parser.fileSetting(&Out.SettingsFile);
+  Parser.text("host-name", "name of this host", &Out.HostName, true);
+  Parser.text("zone", "availability zone of this host", &Zone, true);
+  Parser.text("caller-address", "address for callers, ip:port",
+              &Out.CallerAddress, true);
+  Parser.text("ready-address", "address for readiness checks, ip:port",
+              &Out.ReadyAddress, true);
+  Parser.text("directory-address",
+              "address that tells callers where to connect",
+              &Out.DirectoryAddress, true);
+  Parser.text("metrics-address", "address of the metrics page, ip:port",
+              &Out.MetricsAddress);
+  Parser.text("store-address", "address of the platform's store, ip:port",
+              &Out.StoreAddress, true);
+  Parser.text("log-level", "debug, info, warn or error", &Out.LogLevel);
+  Parser.decimal("retry-ratio", "extra sends for each request",
+                 &Out.RetryBudget.Ratio, 0, 10);
+  Parser.decimal("retry-slack", "extra sends of all hosts in a window",
+                 &Out.RetryBudget.Slack, 0, 1e6);
+  Parser.number("retry-window-ms", "window of the two above", &WindowMs, 100,
+                600000);
+  Parser.decimal("cold-overage", "factor on the rate of cold backend servers",
+                 &Out.ColdOverage, 0, 100);
+  Parser.decimal("cold-slack", "sends on top of that rate", &Out.ColdSlack, 0,
+                 1e6);
+  Parser.number("address-lifetime-s", "how long callers keep an address",
+                &AddressLifetimeS, 1, 60);
+  Parser.number("longest-address-lifetime-s", "bound of the above",
+                &LongestLifetimeS, 1, 3600);
+  Parser.number("stop-limit-ms", "longest wait of a graceful stop",
+                &StopLimitMs, 500, 600000);
+  Parser.number("max-descriptors", "sockets and files of this process",
+                &Descriptors, 300, 10000000);
+  *Exit = Parser.parse(Argc, Argv);
+  Out.Zone = AvailabilityZoneId(Zone);
+  Out.RetryBudget.Window = Milliseconds(WindowMs);
+  Out.AddressLifetime = Seconds(std::min(AddressLifetimeS, LongestLifetimeS));
+  Out.StopLimit = Milliseconds(StopLimitMs);
+  Out.MaxDescriptors = static_cast<size_t>(Descriptors);
+  return Out;
+}
+
+} // namespace mimosa
--- /dev/null
+++ b/entry/entry_service.h
@@ -0,0 +1,70 @@
+// Serves callers' requests: finds the route, runs the request on one backend
+// server or on one of each shard, and answers or refuses.
+
+#ifndef MIMOSA_ENTRY_ENTRY_SERVICE_H
+#define MIMOSA_ENTRY_ENTRY_SERVICE_H
+
+#include "balance/call_scheduler.h"
+#include "gather/gather_query.h"
+#include "platform/caller_wire.h"
+#include "routing/route_table.h"
+#include "routing/weighted_rotation.h"
+#include "runtime/http.h"
+#include "runtime/metrics.h"
+
+namespace mimosa {
+
+class EntryService : public HttpHandler {
+public:
+  EntryService(FiberLoop &Loop, ServerRegistry &Registry, CallScheduler &Calls,
+               MetricsRegistry &Metrics, Random &Rng)
+      : Loop(Loop), Registry(Registry), Calls(Calls), Metrics(Metrics),
+        Rng(Rng) {}
+
+  void setRoutes(std::shared_ptr<const RouteTable> Table) {
+    Routes = std::move(Table);
+  }
+  /// Requests are refused from now on; those in flight go on.
+  void refuseNew() { Refusing = true; }
+
+  HttpResponse handle(const HttpRequest &Request,
+                      const std::shared_ptr<CallerSignals> &Caller) override;
+
+  size_t inFlight() const { return InFlight; }
+
+private:
+  /// One request while it is served.
+  struct Passage {
+    const Route &Path;
+    std::shared_ptr<const RouteTable> Table;
+    std::shared_ptr<const CallerRequest> Request;
+    std::shared_ptr<CallerSignals> Caller;
+    MonotonicTime ArrivedAt;
+    MonotonicTime Deadline;
+  };
+
+  HttpResponse serveSingle(const Passage &P);
+  HttpResponse serveGather(const Passage &P);
+  HttpResponse refuse(const Passage &P, ResultCode Code, const std::string &Why,
+                      Duration RetryAfter);
+  HttpResponse fail(const Passage &P, bool TimedOut, const std::string &Why);
+  HttpResponse callerLeft(const Passage &P);
+  void note(const Passage &P, const char *Outcome, const std::string &Detail);
+  CallRequest callRequest(const Passage &P, const ServiceId &Service) const;
+  Duration retryAfter(CallReason Reason);
+  bool hopeless(const Route &R, MonotonicTime Now) const;
+
+  FiberLoop &Loop;
+  ServerRegistry &Registry;
+  CallScheduler &Calls;
+  MetricsRegistry &Metrics;
+  Random &Rng;
+  std::shared_ptr<const RouteTable> Routes;
+  std::unordered_map<RouteId, WeightedRotation> Rotations;
+  bool Refusing = false;
+  size_t InFlight = 0;
+};
+
+} // namespace mimosa
+
+#endif // MIMOSA_ENTRY_ENTRY_SERVICE_H
--- /dev/null
+++ b/gather/module.cmake
@@ -0,0 +1,1 @@
+mimosa_module(gather mimosa_base mimosa_balance mimosa_routing)
--- /dev/null
+++ b/routing/module.cmake
@@ -0,0 +1,1 @@
+mimosa_module(routing mimosa_base)
--- a/runtime/asio_fiber.cpp
+++ b/runtime/asio_fiber.cpp
@@ -1,9 +1,16 @@
 #include "runtime/asio_fiber.h"
 
 #include <charconv>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace mimosa {
 
+namespace {
+/// Rounds of ready fibers after which sockets are looked at even so.
+constexpr uint32_t PicksPerPoll = 16;
+} // namespace
+
 using boost::fibers::context;
 using boost::fibers::type;
 
@@ -14,11 +21,14 @@
 }
 
 context *AsioScheduler::pick_next() noexcept {
-  // The dispatcher is active once a round. Only it may run handlers here: a
-  // handler that wakes the fiber which is just being suspended would make that
-  // fiber resume itself.
-  if (context::active()->is_context(type::dispatcher_context))
+  // Only the dispatcher may run handlers here: a handler that wakes the fiber
+  // which is just being suspended would make that fiber resume itself. Without
+  // ready fibers suspend_until() follows, which looks at the sockets anyway.
+  if (context::active()->is_context(type::dispatcher_context) &&
+      ReadyFibers > 0 && ++PicksSincePoll >= PicksPerPoll) {
+    PicksSincePoll = 0;
     Io.poll();
+  }
   if (Queue.empty())
     return nullptr;
   context *Next = &Queue.front();
@@ -60,6 +70,22 @@
   return tcp::endpoint(Ip, Port);
 }
 
+void setLivenessOptions(int Socket) {
+  // Probes after 1 s of silence, then each second; and sent bytes that nobody
+  // acknowledges. Links heal within a second or not soon.
+  constexpr int IdleS = 1;
+  constexpr int IntervalS = 1;
+  constexpr int Probes = 3;
+  constexpr unsigned UnacknowledgedMs = 3500;
+  int On = 1;
+  setsockopt(Socket, SOL_SOCKET, SO_KEEPALIVE, &On, sizeof(On));
+  setsockopt(Socket, IPPROTO_TCP, TCP_KEEPIDLE, &IdleS, sizeof(IdleS));
+  setsockopt(Socket, IPPROTO_TCP, TCP_KEEPINTVL, &IntervalS, sizeof(IntervalS));
+  setsockopt(Socket, IPPROTO_TCP, TCP_KEEPCNT, &Probes, sizeof(Probes));
+  setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &UnacknowledgedMs,
+             sizeof(UnacknowledgedMs));
+}
+
 Result<Done> listenOn(tcp::acceptor &Acceptor, const std::string &Address) {
   Result<tcp::endpoint> Endpoint = parseEndpoint(Address);
   if (!ok(Endpoint))
--- a/runtime/asio_fiber.h
+++ b/runtime/asio_fiber.h
@@ -42,6 +42,7 @@
   asio::io_context &Io;
   boost::fibers::scheduler::ready_queue_type Queue;
   size_t ReadyFibers = 0;
+  uint32_t PicksSincePoll = 0;
 };
 
 struct IoOutcome {
@@ -74,6 +75,7 @@
 struct FiberLoop::Impl {
   asio::io_context Io{1};
   bool Stopping = false;
+  std::function<void()> Reload;
   boost::fibers::condition_variable Changed;
   boost::fibers::mutex Lock;
 };
@@ -81,6 +83,10 @@
 /// The endpoint of "ip:port"; fails with BadSetting.
 Result<tcp::endpoint> parseEndpoint(std::string_view Address);
 
+/// Makes a connection whose other end has silently gone fail within about 4 s.
+/// Failures are ignored: the connection then only fails later.
+void setLivenessOptions(int Socket);
+
 /// Opens \p Acceptor on \p Address, "ip:port"; fails with BadSetting.
 Result<Done> listenOn(tcp::acceptor &Acceptor, const std::string &Address);
 
--- a/runtime/fiber_loop.cpp
+++ b/runtime/fiber_loop.cpp
@@ -76,9 +76,25 @@
     if (!Failure)
       stop();
   });
+  std::function<void()> AwaitReload;
+  asio::signal_set Reloads(State->Io, SIGHUP);
+  AwaitReload = [&] {
+    Reloads.async_wait([&](error_code Failure, int) {
+      if (Failure)
+        return;
+      if (State->Reload)
+        State->Reload();
+      AwaitReload();
+    });
+  };
+  AwaitReload();
   Main();
 }
 
+void FiberLoop::onReload(std::function<void()> Callback) {
+  State->Reload = std::move(Callback);
+}
+
 void FiberLoop::spawn(std::function<void()> Body) {
   static boost::fibers::pooled_fixedsize_stack Stacks(FiberStackBytes);
   boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg, Stacks,
--- a/runtime/fiber_loop.h
+++ b/runtime/fiber_loop.h
@@ -46,6 +46,9 @@
   /// Suspends the calling fiber until stop() or a termination signal.
   void waitForStop();
 
+  /// Calls \p Callback at each SIGHUP while run() runs.
+  void onReload(std::function<void()> Callback);
+
   MonotonicTime now() const override;
   [[nodiscard]] Subscription every(Duration Interval,
                                    std::function<void()> Callback) override;
--- /dev/null
+++ b/runtime/file_changes.cpp
@@ -0,0 +1,26 @@
+#include "runtime/file_changes.h"
+
+#include <sys/stat.h>
+
+namespace mimosa {
+
+FileChanges::FileChanges(std::string Path) : Path(std::move(Path)) {
+  Known = read();
+}
+
+FileChanges::Mark FileChanges::read() const {
+  struct stat Info = {};
+  if (Path.empty() || stat(Path.c_str(), &Info) != 0)
+    return {};
+  return {Info.st_mtim.tv_sec * 1000000000LL + Info.st_mtim.tv_nsec,
+          Info.st_size};
+}
+
+bool FileChanges::changed() {
+  Mark Now = read();
+  bool Differs = Now.ModifiedNs != Known.ModifiedNs || Now.Bytes != Known.Bytes;
+  Known = Now;
+  return Differs;
+}
+
+} // namespace mimosa
--- a/runtime/http.h
+++ b/runtime/http.h
@@ -13,6 +13,7 @@
 #ifndef MIMOSA_RUNTIME_HTTP_H
 #define MIMOSA_RUNTIME_HTTP_H
 
+#include "base/http_header.h"
 #include "runtime/fiber_loop.h"
 
 #include <cstdint>
@@ -21,6 +22,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace mimosa {
 
@@ -33,6 +35,10 @@
   bool Forwarded = false;
   /// Numbers the server's connections in the order of their arrival.
   uint64_t ConnectionId = 0;
+  /// All headers, in order. The client sends none of these.
+  std::vector<HttpHeader> Headers;
+  /// When the first byte was read.
+  MonotonicTime ArrivedAt;
 
   /// Target without the query string.
   std::string_view path() const;
@@ -45,6 +51,12 @@
   int Status = 200;
   std::string ContentType = "application/json";
   std::string Body;
+  /// Further headers. If one of them is Content-Type, ContentType is not sent.
+  std::vector<HttpHeader> Headers;
+  /// The connection is closed after this answer.
+  bool Close = false;
+  /// The answer belongs to a HEAD request: Content-Length without a body.
+  bool HeadOnly = false;
 };
 
 /// How a caller was lost.
@@ -82,6 +94,7 @@
 struct HttpServerOptions {
   std::string Address;
   size_t MaxBodyBytes = 1 << 20;
+  size_t MaxHeaderBytes = 16 * 1024;
   size_t MaxConnections = 4096;
   /// A request that has not arrived in full this long after its first byte is
   /// refused as slow_sender.
@@ -115,6 +128,12 @@
   void drain();
   /// Closes the listener and all connections at once, as a crash would.
   void abort();
+  /// Changes the limits; they hold from each connection's next request on.
+  void setLimits(size_t MaxHeaderBytes, size_t MaxBodyBytes,
+                 Duration RequestTimeout, Duration IdleTimeout);
+  /// Every further answer says "Connection: close", while new connections are
+  /// still accepted.
+  void closeAfterAnswers();
   /// Number of requests whose answer has not been written.
   size_t inFlight() const;
   const HttpServerCounters &counters() const;
--- a/runtime/http_client.cpp
+++ b/runtime/http_client.cpp
@@ -52,6 +52,7 @@
     return ioError(Address, "connecting to", Out.Failure);
   error_code Ignored;
   State->Stream.socket().set_option(tcp::no_delay(true), Ignored);
+  setLivenessOptions(static_cast<int>(State->Stream.socket().native_handle()));
   State->Open = true;
   return std::unique_ptr<HttpConnection>(new HttpConnection(std::move(State)));
 }
--- a/runtime/settings.cpp
+++ b/runtime/settings.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
 #include <popt.h>
 
 namespace mimosa {
@@ -24,15 +25,18 @@
 } // namespace
 
 struct Settings::Setting {
-  enum class Kind { Text, Number, Toggle };
+  enum class Kind { Text, Number, Decimal, Toggle };
   std::string Name;
   std::string Help;
   Kind Type = Kind::Text;
   std::string *TextValue = nullptr;
   int64_t *NumberValue = nullptr;
+  double *DecimalValue = nullptr;
   bool *ToggleValue = nullptr;
   int64_t Lowest = 0;
   int64_t Highest = 0;
+  double LowestDecimal = 0;
+  double HighestDecimal = 0;
   bool Required = false;
 };
 
@@ -67,6 +71,23 @@
   All.push_back(std::move(New));
 }
 
+void Settings::decimal(const char *Name, const char *Help, double *Value,
+                       double Lowest, double Highest) {
+  auto New = std::make_unique<Setting>();
+  New->Name = Name;
+  New->Help = Help;
+  New->Type = Setting::Kind::Decimal;
+  New->DecimalValue = Value;
+  New->LowestDecimal = Lowest;
+  New->HighestDecimal = Highest;
+  All.push_back(std::move(New));
+}
+
+void Settings::fileSetting(std::string *Path) {
+  FilePath = Path;
+  text("settings-file", "file with lines name=value", Path);
+}
+
 void Settings::toggle(const char *Name, const char *Help, bool *Value) {
   auto New = std::make_unique<Setting>();
   New->Name = Name;
@@ -77,9 +98,7 @@
 }
 
 std::string Settings::assign(Setting &S, const std::string &Value,
-                             bool FromVariable) {
-  std::string Label =
-      FromVariable ? "variable " + variableName(S.Name) : "flag --" + S.Name;
+                             const std::string &Label) {
   if (S.Type == Setting::Kind::Text) {
     *S.TextValue = Value;
     return "";
@@ -90,6 +109,17 @@
     *S.ToggleValue = Value == "1";
     return "";
   }
+  if (S.Type == Setting::Kind::Decimal) {
+    char *Rest = nullptr;
+    double Number = std::strtod(Value.c_str(), &Rest);
+    if (Value.empty() || *Rest != '\0' || !(Number >= S.LowestDecimal) ||
+        !(Number <= S.HighestDecimal))
+      return Label + " is '" + Value + "' but must be a number from " +
+             std::to_string(S.LowestDecimal) + " to " +
+             std::to_string(S.HighestDecimal);
+    *S.DecimalValue = Number;
+    return "";
+  }
   int64_t Number = 0;
   const char *End = Value.data() + Value.size();
   auto Parsed = std::from_chars(Value.data(), End, Number);
@@ -106,7 +136,8 @@
     const char *Value = std::getenv(variableName(S->Name).c_str());
     if (!Value)
       continue;
-    std::string Problem = assign(*S, Value, true);
+    std::string Problem =
+        assign(*S, Value, "variable " + variableName(S->Name));
     if (!Problem.empty())
       return Problem;
   }
@@ -141,8 +172,8 @@
       break;
     }
     char *Argument = poptGetOptArg(Context);
-    Problem = assign(*All[static_cast<size_t>(Option - FirstSettingOption)],
-                     Argument ? Argument : "1", false);
+    Setting &S = *All[static_cast<size_t>(Option - FirstSettingOption)];
+    Problem = assign(S, Argument ? Argument : "1", "flag --" + S.Name);
     free(Argument);
   }
   if (Option < -1)
@@ -154,6 +185,27 @@
   return Problem;
 }
 
+std::string Settings::readFile(const std::string &Path) {
+  std::ifstream In(Path);
+  if (!In)
+    return "settings file " + Path + " cannot be read";
+  std::string Line;
+  while (std::getline(In, Line)) {
+    size_t Equals = Line.find('=');
+    if (Equals == std::string::npos || Equals + 1 == Line.size())
+      continue;
+    for (auto &S : All) {
+      if (S->Name != Line.substr(0, Equals))
+        continue;
+      std::string Problem =
+          assign(*S, Line.substr(Equals + 1), Path + ": " + S->Name);
+      if (!Problem.empty())
+        return Problem;
+    }
+  }
+  return "";
+}
+
 std::string Settings::checkRequired() const {
   for (const auto &S : All)
     if (S->Required && S->TextValue->empty())
@@ -165,6 +217,11 @@
 std::optional<int> Settings::parse(int Argc, const char *const *Argv) {
   bool ShowVersion = false;
   std::string Problem = readVariables();
+  if (Problem.empty() && FilePath && !FilePath->empty()) {
+    Problem = readFile(*FilePath);
+    if (Problem.empty())
+      Problem = readVariables();
+  }
   if (Problem.empty())
     Problem = readFlags(Argc, Argv, &ShowVersion);
   if (Problem.empty() && ShowVersion) {
--- a/runtime/settings.h
+++ b/runtime/settings.h
@@ -1,5 +1,6 @@
-// Settings from flags and environment variables. Each setting is a flag
-// --some-name and a variable MIMOSA_SOME_NAME; the flag wins.
+// Settings from flags, environment variables and a file. Each setting is a flag
+// --some-name, a variable MIMOSA_SOME_NAME and a line "some-name=value" of the
+// file; a flag wins over a variable, and a variable over the file.
 //
 //   Settings Parser("mimosad", "entry daemon of mimosawall");
 //   Parser.text("listen", "address for callers, ip:port", &Options.Listen);
@@ -36,8 +37,18 @@
   /// A flag without a value; the variable is "1" or "0".
   void toggle(const char *Name, const char *Help, bool *Value);
 
-  /// Reads variables, then flags. Returns an exit status if the program should
-  /// end: 0 after --help or --version, 2 after an error, which is printed.
+  /// A number in [\p Lowest, \p Highest] that may have a fraction.
+  void decimal(const char *Name, const char *Help, double *Value, double Lowest,
+               double Highest);
+  /// Adds the setting "settings-file"; parse() reads the file that it names.
+  void fileSetting(std::string *Path);
+  /// Reads "name=value" lines again, for a reload. Lines without a value and
+  /// unknown names are skipped. The problem, or nothing.
+  std::string readFile(const std::string &Path);
+
+  /// Reads the file, then variables, then flags. Returns an exit status if the
+  /// program should end: 0 after --help or --version, 2 after an error, which
+  /// is printed.
   std::optional<int> parse(int Argc, const char *const *Argv);
 
   /// What followed the flags.
@@ -46,7 +57,8 @@
 private:
   struct Setting;
   struct Parsed;
-  std::string assign(Setting &S, const std::string &Value, bool FromVariable);
+  std::string assign(Setting &S, const std::string &Value,
+                     const std::string &Label);
   std::string readVariables();
   std::string readFlags(int Argc, const char *const *Argv, bool *Version);
   std::string checkRequired() const;
@@ -56,6 +68,7 @@
   std::string Arguments;
   std::vector<std::unique_ptr<Setting>> All;
   std::vector<std::string> Rest;
+  std::string *FilePath = nullptr;
 };
 
 } // namespace mimosa
