Hedge to a busy backend server if it still answers within the target

Cause: logs of partial answers name the shards left out; in 369 of 456 no backend server counted as healthy, since the one fast server of a shard with two slow ones is busy and cost more than 3 typical latencies. Change: a hedge goes to any server expected to answer within 0.85 of the target. Partial answers name unfinished shards and why no hedge was sent.

--- a/balance/call_scheduler.cpp
+++ b/balance/call_scheduler.cpp
@@ -17,6 +17,11 @@
 constexpr double HedgeSpeedCap = 1.5;
 /// The hedge must leave time for its own answer within the target.
 constexpr double LatestHedgeShare = 0.5;
+/// A hedge is worth while if its answer is expected before this share of the
+/// target, or within so many typical latencies if that is later: with two slow
+/// backend servers of three the third one is busy, but still the best.
+constexpr double UsefulShare = 0.85;
+constexpr double HedgeCost = 3;
 /// Hedges leave this many extra sends to retries, since a missing retry costs
 /// a part and a missing hedge only time.
 constexpr double RetryReserve = 2;
@@ -204,9 +209,11 @@
   ServerWanted Wanted;
   Wanted.Typical = Median;
   Wanted.Tried = &Of.Tried;
-  Wanted.HealthyOnly = true;
+  double Left = inSeconds(R.Target) * UsefulShare - inSeconds(Now - Of.BegunAt);
+  Wanted.MaxCost = std::max(HedgeCost, Left / inSeconds(Median));
   BackendServerPtr Server = Registry.choose(R.Service, Wanted, Now);
   if (!Server || !queue(R.Service).Budget.takeExtra(Now, RetryReserve)) {
+    ++(Server ? Of.NoHedgeBudget : Of.NoHedgeServer);
     Counters.BudgetRefused += Server ? 1 : 0;
     return setWake(It->first, Of, std::min(R.Deadline, Now + HedgeRetryDelay));
   }
@@ -380,6 +387,19 @@
   return MayHaveRun;
 }
 
+std::optional<CallStatus> CallScheduler::status(CallId Id) const {
+  auto Found = Calls.find(Id);
+  if (Found == Calls.end())
+    return std::nullopt;
+  CallStatus Out;
+  Out.Waiting = Found->second.Waiting;
+  for (const BackendServerPtr &Server : Found->second.Tried)
+    Out.SentTo.push_back(Server->entry().Id);
+  Out.NoHedgeServer = Found->second.NoHedgeServer;
+  Out.NoHedgeBudget = Found->second.NoHedgeBudget;
+  return Out;
+}
+
 void CallScheduler::pump(const ServiceId &Service, MonotonicTime Now) {
   ServiceQueue &Q = queue(Service);
   while (!Q.Waiting.empty()) {
--- a/balance/call_scheduler.h
+++ b/balance/call_scheduler.h
@@ -76,6 +76,17 @@
   uint32_t Sends = 0;
 };
 
+/// A call that has not ended, for logs.
+struct CallStatus {
+  bool Waiting = false;
+  /// Backend servers that it was sent to, in order.
+  std::vector<BackendServerId> SentTo;
+  /// Hedges that were due and not sent: no backend server was worth one, or
+  /// the retry budget was used up.
+  uint32_t NoHedgeServer = 0;
+  uint32_t NoHedgeBudget = 0;
+};
+
 class CallObserver {
 public:
   virtual ~CallObserver() = default;
@@ -127,6 +138,9 @@
   /// True if the call was running and may have been run by a backend server.
   bool cancel(CallId Id, bool CallerGone, MonotonicTime Now);
 
+  /// Nothing if the call has ended.
+  std::optional<CallStatus> status(CallId Id) const;
+
   // From the transport.
   void answered(AttemptId Id, BackendAnswer Answer, MonotonicTime Now);
   /// Nothing of the request has reached the backend server.
@@ -177,6 +191,8 @@
     std::optional<BackendAnswer> Failure;
     CallReason LastReason = CallReason::None;
     BackendServerId LastServer;
+    uint32_t NoHedgeServer = 0;
+    uint32_t NoHedgeBudget = 0;
   };
   /// Waiting calls of a service by priority and arrival.
   using WaitKey = std::pair<uint32_t, uint64_t>;
--- a/balance/server_registry.cpp
+++ b/balance/server_registry.cpp
@@ -22,9 +22,6 @@
 constexpr Duration OtherZoneTime = Milliseconds(2);
 /// Spread of equally good choices, so that hosts do not move together.
 constexpr double Jitter = 0.1;
-/// A backend server that is worth a hedge is at most this much slower than
-/// what is typical.
-constexpr double HealthyCost = 3;
 /// Share of the bound on cold backend servers that is used; the hosts' seconds
 /// are not aligned.
 constexpr double ColdShare = 0.8;
@@ -155,10 +152,10 @@
         !hasRoom(*Server, Now))
       continue;
     bool Suspect = Server->suspect();
-    if (Suspect && (Wanted.HealthyOnly || Server->inFlight() > 0))
+    if (Suspect && (Wanted.MaxCost > 0 || Server->inFlight() > 0))
       continue;
     double Rank = rank(*Server, Wanted, Now);
-    if (Wanted.HealthyOnly && Rank > HealthyCost)
+    if (Wanted.MaxCost > 0 && Rank > Wanted.MaxCost)
       continue;
     if (Suspect && !Server->trialDue(Now))
       Rank += inSeconds(Server->retryAt() - Now) * 1000;
--- a/balance/server_registry.h
+++ b/balance/server_registry.h
@@ -29,8 +29,9 @@
   Duration Typical = Milliseconds(20);
   /// Backend servers that have been tried.
   const std::vector<BackendServerPtr> *Tried = nullptr;
-  /// Only a backend server that is not suspect and is expected to be fast.
-  bool HealthyOnly = false;
+  /// Only a backend server that is not suspect and is expected to answer within
+  /// so many typical latencies; 0 for any.
+  double MaxCost = 0;
 };
 
 /// Whether a service can take a request now.
--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -45,6 +45,20 @@
   FiberEvent Changed;
 };
 
+/// One shard that is left out of an answer, for logs.
+std::string describeMissing(const ServiceId &Shard, const CallStatus &Status) {
+  std::string Out = Shard.text();
+  if (Status.Waiting)
+    Out += ":waiting";
+  for (const BackendServerId &Server : Status.SentTo)
+    Out += ":" + Server.text();
+  if (Status.NoHedgeServer > 0)
+    Out += ":no_hedge_server";
+  if (Status.NoHedgeBudget > 0)
+    Out += ":no_retry_budget";
+  return Out;
+}
+
 std::string idOf(const CallerRequest &Request) {
   return Request.Id.empty() ? "-" : Request.Id.text();
 }
@@ -225,13 +239,20 @@
   }
   P.Caller->onLoss(nullptr);
   bool MayHaveRun = Query.mayHaveRun();
-  for (CallId Id : Ids)
-    MayHaveRun = Calls.cancel(Id, P.Caller->lost(), Loop.now()) || MayHaveRun;
+  std::string LeftOut;
+  for (size_t I = 0; I < Ids.size(); ++I) {
+    if (auto Status = Calls.status(Ids[I]))
+      LeftOut += (LeftOut.empty() ? "" : ",") +
+                 describeMissing(P.Path.Shards[I], *Status);
+    MayHaveRun =
+        Calls.cancel(Ids[I], P.Caller->lost(), Loop.now()) || MayHaveRun;
+  }
   if (P.Caller->lost())
     return callerLeft(P);
   std::string Detail = "shards=" + std::to_string(Query.total()) +
                        " missing=" + std::to_string(Query.missing()) +
-                       " reason=" + callReasonName(Query.lastReason());
+                       " reason=" + callReasonName(Query.lastReason()) +
+                       (LeftOut.empty() ? "" : " unfinished=" + LeftOut);
   if (Decision == GatherDecision::Answer) {
     note(P, Query.missing() ? "partial" : "answered", Detail);
     return encodeMergedAnswer(*P.Request, Query.signatures(), Query.missing(),
