Drop waiting parts that cannot be answered in time

Change: a waiting call ends as not run when it can no longer be answered while useful, and a host sends one request at a time to a server that is more than twice slower than typical.

--- a/balance/call_scheduler.cpp
+++ b/balance/call_scheduler.cpp
@@ -122,7 +122,7 @@
   size_t Capacity = 0;
   for (const BackendServerPtr &Server : Registry.servers(R.Service))
     if (Registry.usable(*Server) && !Server->suspect())
-      Capacity += Registry.inFlightLimit(*Server);
+      Capacity += Registry.inFlightLimit(*Server, Now);
   const ServiceQueue &Q = queue(R.Service);
   // Only calls that are served before this one count.
   size_t Ahead = 0;
@@ -133,7 +133,11 @@
   auto Typical = inSeconds(typicalLatency(R.Route, R.Target));
   double Rounds = static_cast<double>(Ahead) /
                   static_cast<double>(std::max<size_t>(1, Capacity));
-  return (Rounds + 1) * Typical > inSeconds(R.Deadline - Now);
+  return (Rounds + 1) * Typical > inSeconds(R.UsefulUntil - Now);
+}
+
+MonotonicTime CallScheduler::lastStart(const CallRequest &R) {
+  return R.UsefulUntil - typicalLatency(R.Route, R.Target);
 }
 
 void CallScheduler::wait(CallMap::iterator It, MonotonicTime Now) {
@@ -144,6 +148,7 @@
   }
   ++Counters.Waited;
   Of.Waiting = true;
+  setWake(It->first, Of, lastStart(Of.Request));
   queue(Of.Request.Service)
       .Waiting.emplace(WaitKey{Of.Request.Priority, It->first.number()},
                        It->first);
@@ -448,6 +453,11 @@
     giveUp(Attempts.find(AttemptWakes.begin()->second), Now);
   while (!CallWakes.empty() && CallWakes.begin()->first <= Now) {
     auto It = Calls.find(CallWakes.begin()->second);
+    if (It->second.Waiting) {
+      ++Counters.Overloaded;
+      finish(It, CallOutcome::NotRun, CallReason::Overloaded, {}, Now);
+      continue;
+    }
     if (Now < It->second.Request.Deadline) {
       tryHedge(It, Now);
       continue;
--- a/balance/call_scheduler.h
+++ b/balance/call_scheduler.h
@@ -13,9 +13,10 @@
 //   hedge after twice the typical latency, at the expense of the retry budget.
 // * All backend servers of a service busy: calls wait here, urgent ones first,
 //   and not in the queues of the backend servers, which know no priority.
-// * More calls than the service can run: a call that has waited until its
-//   deadline ends as NotRun; when the queue is longer than can be served in
-//   time, it is refused at once.
+// * More calls than the service can run: serving all of them in order would
+//   make every answer late. A call that can no longer be answered while it is
+//   useful ends as NotRun, and one that finds too long a queue does so at once;
+//   the others are answered in time.
 // * All backend servers of a service down: refused at once as Unavailable,
 //   but for one trial call a backend server after its time aside.
 //
@@ -50,6 +51,9 @@
   /// The time within which the whole request is of full use.
   Duration Target{0};
   MonotonicTime Deadline;
+  /// An answer after this time is of little use: a call that still waits and
+  /// cannot be answered by then makes room for others. At most Deadline.
+  MonotonicTime UsefulUntil;
   std::shared_ptr<const CallerRequest> Message;
 };
 
@@ -210,6 +214,8 @@
   void wait(CallMap::iterator It, MonotonicTime Now);
   void stopWaiting(Call &Of, CallId Id);
   bool hopeless(const Call &Of, MonotonicTime Now);
+  /// The latest time at which a waiting call is worth sending.
+  MonotonicTime lastStart(const CallRequest &R);
   void tryHedge(CallMap::iterator It, MonotonicTime Now);
   void retryOrEnd(CallMap::iterator It, MonotonicTime Now);
   void finish(CallMap::iterator It, CallOutcome Outcome, CallReason Reason,
--- a/balance/server_registry.cpp
+++ b/balance/server_registry.cpp
@@ -16,6 +16,10 @@
 /// A host may always have so many requests in flight: a paused backend server
 /// must not block the host's next request to it.
 constexpr uint32_t LeastInFlight = 2;
+/// A backend server this many times slower than typical has a queue of its
+/// own, or is slow: each host then has one request there, so that most of what
+/// waits does so at the hosts, where it can still be ordered and refused.
+constexpr double CongestedSpeed = 2;
 /// Crossing zones costs latency and traffic; a backend server in another zone
 /// must be this much better. The constant stands for the way there and back.
 constexpr double OtherZoneFactor = 1.15;
@@ -110,7 +114,10 @@
   return std::max(1U, static_cast<uint32_t>(Share));
 }
 
-uint32_t ServerRegistry::inFlightLimit(const BackendServer &Server) const {
+uint32_t ServerRegistry::inFlightLimit(const BackendServer &Server,
+                                       MonotonicTime Now) const {
+  if (Server.speed(Now) > CongestedSpeed)
+    return 1;
   double Share = std::ceil(RequestsPerSlot * Server.entry().Slots / Hosts);
   uint32_t Wanted = std::max(LeastInFlight, static_cast<uint32_t>(Share));
   return std::min(Wanted, connectionLimit(Server));
@@ -122,7 +129,7 @@
 
 bool ServerRegistry::hasRoom(const BackendServer &Server,
                              MonotonicTime Now) const {
-  if (Server.inFlight() >= inFlightLimit(Server))
+  if (Server.inFlight() >= inFlightLimit(Server, Now))
     return false;
   double ColdRate = limitsOf(Server.entry().Service).ColdRate;
   if (ColdRate <= 0 || !Server.cold(Now))
--- a/balance/server_registry.h
+++ b/balance/server_registry.h
@@ -71,7 +71,7 @@
   ServiceState state(const ServiceId &Service, MonotonicTime Now) const;
 
   /// Requests that this host may have in flight to \p Server.
-  uint32_t inFlightLimit(const BackendServer &Server) const;
+  uint32_t inFlightLimit(const BackendServer &Server, MonotonicTime Now) const;
   /// Connections that this host may hold to \p Server.
   uint32_t connectionLimit(const BackendServer &Server) const;
   /// May be sent requests: listed, and its zone is not taken out.
--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -74,7 +74,8 @@
   Out.MaxAttempts = P.Path.MaxAttempts;
   Out.Priority = P.Path.Priority;
   Out.Target = P.Path.Target;
-  Out.Deadline = P.Deadline;
+  Out.Deadline = P.Times.Deadline;
+  Out.UsefulUntil = P.Path.isGather() ? P.Times.PartialFrom : P.Times.Deadline;
   Out.Message = P.Request;
   return Out;
 }
@@ -154,13 +155,11 @@
     return encodeFailure(404, {ResultCode::NotFound, "no route"});
   }
   Duration Allowed = std::min(In.Patience, Found->Timeout);
-  Passage P{*Found,
-            Table,
-            In.Request,
-            Caller,
-            Request.ArrivedAt,
-            Request.ArrivedAt +
-                std::max<Duration>(Allowed - WayBack, Milliseconds(1))};
+  MonotonicTime Deadline =
+      Request.ArrivedAt +
+      std::max<Duration>(Allowed - WayBack, Milliseconds(1));
+  GatherTimes Times = gatherTimes(*Found, Request.ArrivedAt, Deadline);
+  Passage P{*Found, Table, In.Request, Caller, Request.ArrivedAt, Times};
   ++InFlight;
   HttpResponse Out = Found->isGather() ? serveGather(P) : serveSingle(P);
   --InFlight;
@@ -221,7 +220,7 @@
   if (hopeless(P.Path, Now))
     return refuse(P, ResultCode::NoBackend, "shards_unavailable",
                   retryAfter(CallReason::Unavailable));
-  GatherQuery Query(P.Path, gatherTimes(P.Path, P.ArrivedAt, P.Deadline));
+  GatherQuery Query(P.Path, P.Times);
   GatherObserver Observer(Query);
   std::vector<CallId> Ids;
   Ids.reserve(P.Path.Shards.size());
@@ -261,7 +260,7 @@
   if (!MayHaveRun)
     return refuse(P, ResultCode::Overloaded, callReasonName(Query.lastReason()),
                   retryAfter(Query.lastReason()));
-  return fail(P, Now >= P.Deadline, Detail);
+  return fail(P, Now >= P.Times.Deadline, Detail);
 }
 
 } // namespace mimosa
--- a/entry/entry_service.h
+++ b/entry/entry_service.h
@@ -40,7 +40,7 @@
     std::shared_ptr<const CallerRequest> Request;
     std::shared_ptr<CallerSignals> Caller;
     MonotonicTime ArrivedAt;
-    MonotonicTime Deadline;
+    GatherTimes Times;
   };
 
   HttpResponse serveSingle(const Passage &P);
