Let one host of each zone follow the store and the others follow it

(2) Each host held its own watch; on the grown site calls to the store cost most of all. Change: picture/ keeps a copy of the store's items and passes changes on to hosts of the zone; a host that starts without the store adopts the picture of a seed.

--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -34,15 +34,18 @@
 
 EntryNode::EntryNode(FiberLoop &Loop, EntryOptions NewOptions, uint64_t Seed)
     : Loop(Loop), Options(std::move(NewOptions)),
-      Rng(Seed), Self{Options.HostName, Options.CallerAddress, Options.Zone},
+      Rng(Seed), Self{Options.HostName, Options.CallerAddress,
+                      Options.PeerAddress, Options.Zone},
       Registry(Options.Zone, Rng), Channels(Loop, Registry),
       Calls(Registry, Channels), Service(Loop, Registry, Calls, Metrics, Rng),
       Directory(Self, Options.AddressLifetime, Rng),
-      Store(Loop, Options.StoreAddress), Feed(Loop, Store, Self, *this),
-      Pages(Directory), MetricsHandler(*this),
+      Store(Loop, Options.StoreAddress),
+      Feed(Loop, Store, Self, Options.Seeds, *this), Pages(Directory),
+      MetricsHandler(*this),
       Callers(Loop, serverOptions(Options.CallerAddress), Service),
       ReadyServer(Loop, serverOptions(Options.ReadyAddress), Pages),
-      DirectoryServer(Loop, serverOptions(Options.DirectoryAddress), Pages) {
+      DirectoryServer(Loop, serverOptions(Options.DirectoryAddress), Pages),
+      PeersIn(Loop, Options.PeerAddress.text(), Feed.peerHandler(), Traffic) {
   Channels.reportTo(Calls);
   Calls.onEarlierWake([this] { TimerChanged.set(); });
   if (!Options.MetricsAddress.empty())
@@ -107,6 +110,9 @@
     if (!ok(Started))
       return Started;
   }
+  Result<Done> PeersStarted = PeersIn.start();
+  if (!ok(PeersStarted))
+    return PeersStarted;
   if (MetricsServer) {
     Result<Done> Started = MetricsServer->start();
     if (!ok(Started))
--- a/entry/entry_node.h
+++ b/entry/entry_node.h
@@ -79,6 +79,8 @@
   HttpServer Callers;
   HttpServer ReadyServer;
   HttpServer DirectoryServer;
+  PeerTraffic Traffic;
+  PeerServer PeersIn;
   std::unique_ptr<HttpServer> MetricsServer;
   FiberEvent TimerChanged;
   Subscription Second;
--- a/entry/entry_options.cpp
+++ b/entry/entry_options.cpp
@@ -3,6 +3,7 @@
 #include "runtime/settings.h"
 
 #include <algorithm>
+#include <sstream>
 
 namespace mimosa {
 
@@ -10,6 +11,8 @@
                                std::optional<int> *Exit) {
   EntryOptions Out;
   std::string Zone;
+  std::string Peer;
+  std::string Seeds;
   int64_t AddressLifetimeS = Out.AddressLifetime / Seconds(1);
   int64_t LongestLifetimeS = 5;
   int64_t StopLimitMs = inMilliseconds(Out.StopLimit);
@@ -27,6 +30,10 @@
   Parser.text("directory-address",
               "address that tells callers where to connect",
               &Out.DirectoryAddress, true);
+  Parser.text("peer-address", "address for other entry hosts, ip:port", &Peer,
+              true);
+  Parser.text("seeds", "peer addresses of other hosts, comma-separated",
+              &Seeds);
   Parser.text("metrics-address", "address of the metrics page, ip:port",
               &Out.MetricsAddress);
   Parser.text("store-address", "address of the platform's store, ip:port",
@@ -52,6 +59,11 @@
                 &Descriptors, 300, 10000000);
   *Exit = Parser.parse(Argc, Argv);
   Out.Zone = AvailabilityZoneId(Zone);
+  Out.PeerAddress = HostId(Peer);
+  std::istringstream SeedList(Seeds);
+  for (std::string One; std::getline(SeedList, One, ',');)
+    if (!One.empty())
+      Out.Seeds.emplace_back(One);
   Out.RetryBudget.Window = Milliseconds(WindowMs);
   Out.AddressLifetime = Seconds(std::min(AddressLifetimeS, LongestLifetimeS));
   Out.StopLimit = Milliseconds(StopLimitMs);
--- a/entry/entry_options.h
+++ b/entry/entry_options.h
@@ -9,6 +9,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace mimosa {
 
@@ -18,6 +19,9 @@
   std::string CallerAddress;
   std::string ReadyAddress;
   std::string DirectoryAddress;
+  /// Address for other entry hosts, and those of some of them.
+  HostId PeerAddress;
+  std::vector<HostId> Seeds;
   /// Empty: no metrics are served.
   std::string MetricsAddress;
   std::string StoreAddress;
--- /dev/null
+++ b/picture/module.cmake
@@ -0,0 +1,1 @@
+mimosa_module(picture mimosa_base mimosa_runtime)
--- /dev/null
+++ b/picture/picture_relay.h
@@ -0,0 +1,83 @@
+// Passes this host's picture of the store on to other hosts, and decides whom
+// this host gets it from.
+//
+// Each call to the store is counted and priced, and its rates grow more slowly
+// than the fleet. So in each zone one host follows the store, and the others
+// follow that host. The host is the first of its zone by name among those that
+// are listed; when it does not answer, the next one is asked, and after
+// MaxLeaders failures the store itself. A host that cannot reach the store says
+// so, and its followers go elsewhere.
+
+#ifndef MIMOSA_PICTURE_PICTURE_RELAY_H
+#define MIMOSA_PICTURE_PICTURE_RELAY_H
+
+#include "picture/messages.h"
+#include "runtime/peer.h"
+
+namespace mimosa {
+
+/// A host that may pass on its picture.
+struct PictureHost {
+  std::string Name;
+  /// Peer address, "ip:port".
+  HostId Address;
+  AvailabilityZoneId Zone;
+};
+
+/// Chooses the host to follow. Without input or output; times are passed in.
+class LeaderChoice {
+public:
+  LeaderChoice(std::string OwnName, AvailabilityZoneId OwnZone)
+      : OwnName(std::move(OwnName)), OwnZone(std::move(OwnZone)) {}
+
+  void setHosts(std::vector<PictureHost> Listed);
+  /// The host to follow; nothing if the store is to be followed.
+  std::optional<HostId> leader(MonotonicTime Now) const;
+  /// \p Leader did not answer or is not fresh.
+  void failed(const HostId &Leader, MonotonicTime Now);
+
+private:
+  std::string OwnName;
+  AvailabilityZoneId OwnZone;
+  /// Hosts of the zone that come before this one, by name.
+  std::vector<PictureHost> Before;
+  std::map<HostId, MonotonicTime> FailedAt;
+};
+
+/// Answers the requests of followers.
+class PictureRelay : public PeerHandler {
+public:
+  explicit PictureRelay(FiberLoop &Loop, const Picture &Own)
+      : Loop(Loop), Own(Own) {}
+
+  /// Starts the timer that ends long waits.
+  void start();
+  /// The outcome of this host's last call for its own picture.
+  void noteSource(bool Works);
+  /// The picture has changed.
+  void changed() { replyAll(); }
+
+  bool handleFrame(const PeerFrame &Frame, PeerReplier Reply) override;
+
+private:
+  struct Follower {
+    StoreRevision After;
+    MonotonicTime Until;
+    PeerReplier Reply;
+  };
+
+  PictureReply replyTo(StoreRevision After) const;
+  void replyAll();
+  void onTick();
+
+  FiberLoop &Loop;
+  const Picture &Own;
+  bool Works = false;
+  std::optional<MonotonicTime> LastFailure;
+  std::vector<Follower> Followers;
+  Subscription Tick;
+};
+
+} // namespace mimosa
+
+#endif // MIMOSA_PICTURE_PICTURE_RELAY_H
--- a/runtime/peer.h
+++ b/runtime/peer.h
@@ -50,6 +50,8 @@
   Dispatch = 30,
   DispatchReply = 31,
   DispatchCancel = 32,
+  PictureRequest = 40,
+  PictureReply = 41,
 };
 
 /// One past the highest known type.
--- a/runtime/peer_client.cpp
+++ b/runtime/peer_client.cpp
@@ -8,7 +8,8 @@
 namespace {
 constexpr Duration ConnectTimeout = Milliseconds(500);
 constexpr Duration IdleTimeout = Seconds(60);
-constexpr Duration SweepInterval = Milliseconds(20);
+// Requests time out so much late at most; each sweep wakes the process.
+constexpr Duration SweepInterval = Milliseconds(50);
 constexpr size_t MaxQueuedFrames = 4096;
 } // namespace
 
