--- /dev/null
+++ b/balance/server_registry_test.cpp
@@ -0,0 +1,156 @@
+#include "balance/retry_budget.h"
+#include "balance/server_registry.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace mimosa {
+namespace {
+
+constexpr MonotonicTime Start{Seconds(1000)};
+const ServiceId Shard{"shard"};
+
+BackendServerEntry entry(const std::string &Id, uint64_t Sequence,
+                         int64_t BornMs = 1, const char *Zone = "z1") {
+  BackendServerEntry Out;
+  Out.Id = BackendServerId(Id);
+  Out.Service = Shard;
+  Out.Address = "10.0.0.1:80";
+  Out.Zone = AvailabilityZoneId(Zone);
+  Out.Slots = 4;
+  Out.BornMs = BornMs;
+  Out.Sequence = Sequence;
+  return Out;
+}
+
+class ServerRegistryTest : public testing::Test {
+protected:
+  ServerRegistryTest() : Registry(AvailabilityZoneId("z1"), Rng) {
+    Registry.setLimits(Shard, 36, 0);
+  }
+  BackendServerPtr choose(MonotonicTime Now = Start) {
+    return Registry.choose(Shard, ServerWanted{}, Now);
+  }
+  SeededRandom Rng{1};
+  ServerRegistry Registry;
+};
+
+// Guards against a late report that takes a drain back, and against counting
+// the reports of a new process behind those of the old one.
+TEST_F(ServerRegistryTest, ReportsAreOrderedByBirthAndSequence) {
+  struct Case {
+    uint64_t Sequence;
+    int64_t BornMs;
+    bool Taken;
+  };
+  for (const Case &C :
+       {Case{4, 10, false}, Case{5, 10, true}, Case{6, 10, true},
+        Case{9, 9, false}, Case{0, 11, true}}) {
+    ServerRegistry Fresh(AvailabilityZoneId("z1"), Rng);
+    BackendServerEntry Drained = entry("a", 5, 10);
+    Drained.Draining = true;
+    Fresh.put(Drained, Start);
+    EXPECT_EQ(Fresh.put(entry("a", C.Sequence, C.BornMs), Start), C.Taken)
+        << C.Sequence << " " << C.BornMs;
+  }
+}
+
+// Guards against traffic between zones while the own zone is as good.
+TEST_F(ServerRegistryTest, PrefersTheOwnZone) {
+  Registry.put(entry("near", 1), Start);
+  Registry.put(entry("far", 1, 1, "z2"), Start);
+  EXPECT_EQ(choose()->entry().Id, BackendServerId("near"));
+  Registry.find(BackendServerId("near"))->answered(8, Start);
+  EXPECT_EQ(choose()->entry().Id, BackendServerId("far"));
+}
+
+// Guards against a backend server that fails twice and goes on being used, and
+// against one that is never tried again.
+TEST_F(ServerRegistryTest, FailuresInARowPutAside) {
+  Registry.put(entry("a", 1), Start);
+  BackendServerPtr A = choose();
+  A->failed(BackendFailure::Down, Start);
+  EXPECT_EQ(Registry.state(Shard, Start), ServiceState::Available);
+  A->failed(BackendFailure::Down, Start);
+  EXPECT_EQ(Registry.state(Shard, Start), ServiceState::Unavailable);
+  EXPECT_EQ(Registry.state(Shard, Start + Milliseconds(300)),
+            ServiceState::Available);
+  A->answered(1, Start + Milliseconds(300));
+  EXPECT_FALSE(A->suspect());
+}
+
+// Guards against more requests a second than a cold backend server bears, from
+// eight hosts together.
+TEST_F(ServerRegistryTest, ColdBackendServersGetTheirShareOnly) {
+  constexpr uint32_t Hosts = 8;
+  constexpr double ColdRate = 20;
+  Registry.setLimits(Shard, 1000, ColdRate);
+  Registry.setColdAllowance(1.5, 5);
+  Registry.setHosts(Hosts);
+  BackendServerEntry Cold = entry("a", 1);
+  Cold.ColdLeft = Seconds(3);
+  Registry.put(Cold, Start);
+  uint32_t Sent = 0;
+  for (int Ms = 0; Ms < 1000; ++Ms) {
+    MonotonicTime Now = Start + Milliseconds(Ms);
+    if (BackendServerPtr A = choose(Now)) {
+      A->sent(Now);
+      A->ended(Now);
+      ++Sent;
+    }
+  }
+  EXPECT_GT(Sent, 0u);
+  EXPECT_LE(Sent * Hosts, ColdRate * 1.5 + 5);
+}
+
+// Guards against more connections than a backend server accepts from all
+// hosts.
+TEST_F(ServerRegistryTest, HostsDivideTheConnections) {
+  Registry.put(entry("a", 1), Start);
+  for (uint32_t Hosts : {1U, 6U, 8U, 12U, 36U}) {
+    Registry.setHosts(Hosts);
+    EXPECT_LE(Registry.connectionLimit(*choose()) * Hosts, 36u);
+  }
+}
+
+// Guards against extra sends beyond the joint bound in any window, whatever
+// the requests are.
+RC_GTEST_PROP(RetryBudget, NoWindowHasMoreThanItsBound, ()) {
+  constexpr uint32_t Hosts = 4;
+  RetryBudgetOptions Options{0.2, 40, Seconds(10)};
+  std::vector<RetryBudget> Budgets(Hosts, RetryBudget(Options));
+  for (RetryBudget &B : Budgets)
+    B.setHosts(Hosts);
+  struct Event {
+    MonotonicTime At;
+    bool Extra;
+  };
+  std::vector<Event> Events;
+  MonotonicTime Now = Start;
+  for (int I = 0; I < 3000; ++I) {
+    Now += Milliseconds(*rc::gen::inRange(0, 25));
+    RetryBudget &B = Budgets[*rc::gen::inRange<size_t>(0, Hosts)];
+    bool Extra = *rc::gen::inRange(0, 3) == 0;
+    if (!Extra)
+      B.request(Now);
+    if (!Extra || B.takeExtra(Now))
+      Events.push_back({Now, Extra});
+  }
+  for (const Event &First : Events) {
+    double Requests = 0;
+    double Extra = 0;
+    double Before = 0;
+    for (const Event &E : Events) {
+      if (E.At >= First.At && E.At < First.At + Options.Window)
+        ++(E.Extra ? Extra : Requests);
+      else if (!E.Extra && E.At < First.At && E.At >= First.At - Options.Window)
+        ++Before;
+    }
+    // The users count the requests of the window or of the one before it.
+    RC_ASSERT(Extra <=
+              Options.Ratio * std::max(Requests, Before) + Options.Slack);
+  }
+}
+
+} // namespace
+} // namespace mimosa
--- /dev/null
+++ b/gather/gather_test.cpp
@@ -0,0 +1,118 @@
+#include "gather/gather_query.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+namespace mimosa {
+namespace {
+
+constexpr MonotonicTime Start{Seconds(1000)};
+
+Route route(size_t Shards, double Coverage) {
+  Route R;
+  R.Shards.resize(Shards);
+  R.LeastCoverage = Coverage;
+  R.TopRecords = 3;
+  R.Target = Milliseconds(150);
+  return R;
+}
+
+CallResult answered(const std::string &Signature) {
+  CallResult R;
+  R.Outcome = CallOutcome::Answered;
+  R.Answer.Status = 200;
+  R.Answer.Signature = Signature;
+  R.Answer.Body = std::string(RecordBytes, 'r');
+  return R;
+}
+
+CallResult notRun() { return {CallOutcome::NotRun, CallReason::Overloaded}; }
+
+class GatherQueryTest : public testing::Test {
+protected:
+  GatherQueryTest()
+      : R(route(10, 0.89)),
+        Times(gatherTimes(R, Start, Start + Milliseconds(788))),
+        Query(R, Times) {}
+  void answer(int Count) {
+    for (int I = 0; I < Count; ++I)
+      Query.part(answered("s" + std::to_string(Sent++)));
+  }
+  Route R;
+  GatherTimes Times;
+  GatherQuery Query;
+  int Sent = 0;
+};
+
+// Guards against an early partial answer while a whole one can still be in
+// time.
+TEST_F(GatherQueryTest, WaitsForTheLastPartUntilTheTargetIsNear) {
+  answer(9);
+  EXPECT_EQ(Query.decide(Start), GatherDecision::Wait);
+  EXPECT_EQ(Query.wakeAt(Start), Times.PartialFrom);
+  EXPECT_LE(Times.PartialFrom, Start + R.Target);
+  EXPECT_EQ(Query.decide(Times.PartialFrom), GatherDecision::Answer);
+  EXPECT_EQ(Query.missing(), 1u);
+}
+
+TEST_F(GatherQueryTest, AnswersAtOnceWhenAllAreIn) {
+  answer(10);
+  EXPECT_EQ(Query.decide(Start), GatherDecision::Answer);
+  EXPECT_EQ(Query.missing(), 0u);
+}
+
+// Guards against a caller that waits for an answer that cannot come.
+TEST_F(GatherQueryTest, FailsWhenTheLeastCoverageIsOutOfReach) {
+  Query.part(notRun());
+  EXPECT_EQ(Query.decide(Start), GatherDecision::Wait);
+  Query.part(notRun());
+  EXPECT_EQ(Query.decide(Start), GatherDecision::Fail);
+  EXPECT_FALSE(Query.mayHaveRun());
+}
+
+// Guards against an answer with less than the least coverage, however late.
+TEST_F(GatherQueryTest, NeverAnswersBelowTheLeastCoverage) {
+  answer(8);
+  EXPECT_EQ(Query.decide(Times.PartialFrom), GatherDecision::Wait);
+  EXPECT_EQ(Query.decide(Times.Deadline), GatherDecision::Fail);
+  EXPECT_TRUE(Query.mayHaveRun());
+}
+
+// Guards against a failure of a backend server that is counted as a part.
+TEST_F(GatherQueryTest, AFailureIsNoPart) {
+  CallResult Failed = answered("x");
+  Failed.Answer.Status = 500;
+  Query.part(Failed);
+  CallResult Encoded = answered("y");
+  Encoded.Answer.Encoded = true;
+  Query.part(Encoded);
+  EXPECT_EQ(Query.missing(), 10u);
+}
+
+// Guards against wrong, lost or doubled records in a merged answer.
+RC_GTEST_PROP(TopRecords, AreTheGreatestOfAllParts,
+              (const std::vector<std::vector<uint8_t>> &Parts)) {
+  size_t Limit = *rc::gen::inRange<size_t>(0, 8);
+  TopRecords Top(Limit);
+  std::vector<std::string> All;
+  for (const auto &Bytes : Parts) {
+    std::string Part;
+    for (uint8_t Byte : Bytes)
+      Part.append(RecordBytes - 1, 'a').push_back(static_cast<char>(Byte));
+    // A remainder that is no record.
+    Top.add(Part + "short");
+    for (size_t At = 0; At < Part.size(); At += RecordBytes)
+      All.push_back(Part.substr(At, RecordBytes));
+  }
+  std::sort(All.rbegin(), All.rend());
+  All.resize(std::min(All.size(), Limit));
+  std::string Expected;
+  for (const std::string &Record : All)
+    Expected += Record;
+  RC_ASSERT(Top.take() == Expected);
+}
+
+} // namespace
+} // namespace mimosa
--- /dev/null
+++ b/picture/picture_test.cpp
@@ -0,0 +1,114 @@
+#include "picture/picture_relay.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace mimosa {
+namespace {
+
+StoreItem item(const std::string &Key, uint64_t Revision,
+               std::optional<std::string> Value = "v") {
+  return {Key, std::move(Value), StoreRevision(Revision)};
+}
+
+std::map<std::string, std::string> contents(const Picture &P) {
+  std::map<std::string, std::string> Out;
+  for (const StoreItem &Item : P.since(StoreRevision()).Items)
+    Out[Item.Key] = *Item.Value;
+  return Out;
+}
+
+// Guards against an old change that overwrites a newer one.
+TEST(Picture, OlderChangesAreIgnored) {
+  Picture P;
+  P.replace({item("a", 5, "new")}, StoreRevision(5));
+  EXPECT_FALSE(P.apply(item("a", 4, "old")));
+  EXPECT_FALSE(P.apply(item("a", 5, "same")));
+  EXPECT_TRUE(P.apply(item("a", 6, std::nullopt)));
+  EXPECT_TRUE(contents(P).empty());
+}
+
+// Guards against a listing that removes what came after it.
+TEST(Picture, ListingKeepsNewerItems) {
+  Picture P;
+  P.replace({item("a", 1), item("b", 2)}, StoreRevision(2));
+  P.apply(item("c", 9));
+  P.replace({item("a", 1)}, StoreRevision(8));
+  EXPECT_EQ(contents(P).count("b"), 0u);
+  EXPECT_EQ(contents(P).count("c"), 1u);
+}
+
+/// Carries over what \p From has and \p To lacks, through the message.
+void follow(const Picture &From, Picture &To) {
+  PictureChanges Changes = changesOf(valueOf(unpackBody<PictureReply>(
+      packBody(makeReply(From.since(To.revision()))))));
+  if (Changes.Whole) {
+    To.replace(Changes.Items, Changes.Upto);
+    return;
+  }
+  for (const StoreItem &Item : Changes.Items)
+    To.apply(Item);
+  To.advance(Changes.Upto);
+}
+
+// Guards against a follower that misses a change, whenever it asks and
+// whenever its leader had to list the store anew.
+RC_GTEST_PROP(Picture, FollowersSeeWhatTheLeaderSees, ()) {
+  Picture Leader;
+  Picture Follower;
+  std::map<std::string, StoreItem> Store;
+  uint64_t Revision = 1;
+  Leader.replace({}, StoreRevision(Revision));
+  for (int Step = 0; Step < 200; ++Step) {
+    std::string Key(1, static_cast<char>('a' + *rc::gen::inRange(0, 6)));
+    bool Remove = *rc::gen::inRange(0, 3) == 0;
+    ++Revision;
+    StoreItem Change =
+        Remove ? item(Key, Revision, std::nullopt)
+               : item(Key, Revision,
+                      std::string(*rc::gen::inRange(1, 20000), 'x'));
+    if (Remove)
+      Store.erase(Key);
+    else
+      Store[Key] = Change;
+    bool Missed = *rc::gen::inRange(0, 10) == 0;
+    if (!Missed)
+      Leader.apply(Change);
+    if (Missed || *rc::gen::inRange(0, 20) == 0) {
+      std::vector<StoreItem> Listing;
+      for (const auto &[Name, Item] : Store)
+        Listing.push_back(Item);
+      Leader.replace(Listing, StoreRevision(Revision));
+    }
+    if (*rc::gen::inRange(0, 4) == 0) {
+      follow(Leader, Follower);
+      RC_ASSERT(contents(Follower) == contents(Leader));
+    }
+  }
+}
+
+// Guards against a zone in which nobody, or everybody, follows the store, and
+// against a follower that stays with a leader that does not answer.
+TEST(LeaderChoice, FirstOfTheZoneIsFollowed) {
+  AvailabilityZoneId Zone("z1");
+  std::vector<PictureHost> Hosts = {
+      {"h3", HostId("3"), Zone},
+      {"h1", HostId("1"), Zone},
+      {"h2", HostId("2"), Zone},
+      {"h0", HostId("0"), AvailabilityZoneId("z2")}};
+  MonotonicTime Now{Seconds(100)};
+  LeaderChoice First("h1", Zone);
+  First.setHosts(Hosts);
+  EXPECT_FALSE(First.leader(Now));
+  LeaderChoice Third("h3", Zone);
+  Third.setHosts(Hosts);
+  EXPECT_EQ(Third.leader(Now), HostId("1"));
+  Third.failed(HostId("1"), Now);
+  EXPECT_EQ(Third.leader(Now), HostId("2"));
+  Third.failed(HostId("2"), Now);
+  EXPECT_FALSE(Third.leader(Now));
+  EXPECT_EQ(Third.leader(Now + Seconds(5)), HostId("1"));
+}
+
+} // namespace
+} // namespace mimosa
