--- a/balance/call_scheduler.cpp
+++ b/balance/call_scheduler.cpp
@@ -22,9 +22,9 @@
 /// backend servers of three the third one is busy, but still the best.
 constexpr double UsefulShare = 0.85;
 constexpr double HedgeCost = 3;
-/// Hedges leave this many extra sends to retries, since a missing retry costs
-/// a part and a missing hedge only time.
-constexpr double RetryReserve = 2;
+/// Hedges leave this share of the extra sends to retries, since a missing retry
+/// costs a part and a missing hedge only time.
+constexpr double RetryReserve = 0.15;
 /// A hedge that found no place or budget is tried again after this time.
 constexpr Duration HedgeRetryDelay = Milliseconds(8);
 /// Sends whose answer is not wanted any more may end within this time, which
--- a/balance/retry_budget.cpp
+++ b/balance/retry_budget.cpp
@@ -23,7 +23,7 @@
 
 void RetryBudget::request(MonotonicTime Now) { ++current(Now).Requests; }
 
-double RetryBudget::left(MonotonicTime Now) {
+std::pair<double, double> RetryBudget::use(MonotonicTime Now) {
   current(Now);
   uint64_t Requests = 0;
   uint64_t Extra = 0;
@@ -33,11 +33,17 @@
   }
   double Bound =
       Options.Ratio * static_cast<double>(Requests) + Options.Slack / Hosts;
-  return UsedShare * Bound - static_cast<double>(Extra);
+  return {UsedShare * Bound, static_cast<double>(Extra)};
+}
+
+double RetryBudget::left(MonotonicTime Now) {
+  auto [Bound, Taken] = use(Now);
+  return Bound - Taken;
 }
 
 bool RetryBudget::takeExtra(MonotonicTime Now, double Reserve) {
-  if (left(Now) < 1 + Reserve)
+  auto [Bound, Taken] = use(Now);
+  if (Taken + 1 > Bound * (1 - Reserve))
     return false;
   ++current(Now).Extra;
   return true;
--- a/balance/retry_budget.h
+++ b/balance/retry_budget.h
@@ -15,6 +15,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <utility>
 
 namespace mimosa {
 
@@ -34,8 +35,8 @@
   void setHosts(uint32_t Count) { Hosts = Count; }
 
   void request(MonotonicTime Now);
-  /// Takes one extra send; false if none is left. \p Reserve extra sends are
-  /// left to others.
+  /// Takes one extra send; false if none is left. \p Reserve is the share of
+  /// the bound that is left to others.
   bool takeExtra(MonotonicTime Now, double Reserve = 0);
   /// Extra sends that could be taken now.
   double left(MonotonicTime Now);
@@ -49,6 +50,8 @@
   };
 
   Slice &current(MonotonicTime Now);
+  /// Extra sends of a window, and how many of them have been taken.
+  std::pair<double, double> use(MonotonicTime Now);
 
   RetryBudgetOptions Options;
   uint32_t Hosts = 1;
--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -17,6 +17,13 @@
 constexpr Duration StopPoll = Milliseconds(20);
 /// Descriptors that are not for callers' connections.
 constexpr size_t OwnDescriptors = 600;
+/// Processor time of one send with its part of the caller's request, measured
+/// on the users' bench at 66 us.
+constexpr Duration CostOfSend(70);
+/// Shares of the capacity above which a host is busy, and below which it is so
+/// no longer. Half is left for bursts until callers have learned other hosts.
+constexpr double BusyShare = 0.5;
+constexpr double IdleShare = 0.2;
 /// Requests that a caller sends on kept connections right after a change of
 /// the idle timeout must not meet a close.
 constexpr Duration IdleSlack = Seconds(2);
@@ -35,7 +42,8 @@
 EntryNode::EntryNode(FiberLoop &Loop, EntryOptions NewOptions, uint64_t Seed)
     : Loop(Loop), Options(std::move(NewOptions)),
       Rng(Seed), Self{Options.HostName, Options.CallerAddress,
-                      Options.PeerAddress, Options.Zone},
+                      Options.PeerAddress, Options.Zone,
+                      Options.CoreShare * Options.CoreSpeed},
       Registry(Options.Zone, Rng), Channels(Loop, Registry),
       Calls(Registry, Channels), Service(Loop, Registry, Calls, Metrics, Rng),
       Directory(Self, Options.AddressLifetime, Rng),
@@ -143,6 +151,22 @@
 void EntryNode::onSecond() {
   Registry.setHosts(Directory.sharingHosts(Loop.now()));
   Channels.sweep();
+  noteLoad();
+}
+
+void EntryNode::noteLoad() {
+  uint64_t Sends = Calls.counters().Sends;
+  double Cores =
+      static_cast<double>(Sends - SendsBefore) * inSeconds(CostOfSend);
+  SendsBefore = Sends;
+  double Limit = (Busy ? IdleShare : BusyShare) * Self.Capacity;
+  if (Busy == (Cores > Limit))
+    return;
+  Busy = !Busy;
+  logInfo("node", std::string("event=") + (Busy ? "busy" : "not_busy") +
+                      " cores=" + std::to_string(Cores) +
+                      " capacity=" + std::to_string(Self.Capacity));
+  Feed.setBusy(Busy);
 }
 
 void EntryNode::routingChanged(RoutingConfig Config) {
--- a/entry/entry_node.h
+++ b/entry/entry_node.h
@@ -58,6 +58,7 @@
 
   void runTimers();
   void onSecond();
+  void noteLoad();
   void applySettings();
   void registerGauges();
   HttpServerOptions serverOptions(const std::string &Address) const;
@@ -82,6 +83,8 @@
   PeerTraffic Traffic;
   PeerServer PeersIn;
   std::unique_ptr<HttpServer> MetricsServer;
+  uint64_t SendsBefore = 0;
+  bool Busy = false;
   FiberEvent TimerChanged;
   Subscription Second;
   Subscription LogFlush;
--- a/entry/entry_options.cpp
+++ b/entry/entry_options.cpp
@@ -57,6 +57,10 @@
                 &StopLimitMs, 500, 600000);
   Parser.number("max-descriptors", "sockets and files of this process",
                 &Descriptors, 300, 10000000);
+  Parser.decimal("core-share", "share of a core that may be used",
+                 &Out.CoreShare, 0.001, 1024);
+  Parser.decimal("core-speed", "speed of that core, 1 for the usual one",
+                 &Out.CoreSpeed, 0.001, 1000);
   *Exit = Parser.parse(Argc, Argv);
   Out.Zone = AvailabilityZoneId(Zone);
   Out.PeerAddress = HostId(Peer);
--- a/entry/entry_options.h
+++ b/entry/entry_options.h
@@ -35,6 +35,10 @@
   /// From a termination signal to the end of the process at the latest.
   Duration StopLimit = Milliseconds(6000);
   size_t MaxDescriptors = 4096;
+  /// Share of a core of this host that the process may use, and how many times
+  /// as fast as usual that core is.
+  double CoreShare = 1;
+  double CoreSpeed = 1;
 };
 
 /// Reads file, variables and flags. Sets \p Exit if the program should end.
--- a/entry/host_directory.cpp
+++ b/entry/host_directory.cpp
@@ -1,5 +1,6 @@
 #include "entry/host_directory.h"
 
+#include "placement/serving_set.h"
 #include "platform/directory_wire.h"
 
 #include <algorithm>
@@ -13,8 +14,17 @@
 void HostDirectory::setHosts(std::vector<EntryHost> Listed, MonotonicTime Now) {
   if (!Sizes.empty())
     Sizes.back().first = Now;
-  Hosts = std::move(Listed);
-  Sizes.emplace_back(Now, static_cast<uint32_t>(Hosts.size()));
+  std::vector<ServingCandidate> Candidates;
+  for (const EntryHost &Host : Listed)
+    Candidates.push_back({Host.Name, Host.Zone, Host.Capacity, Host.Busy});
+  Hosts.clear();
+  bool SelfServes = false;
+  for (size_t I : servingSet(Candidates)) {
+    SelfServes = SelfServes || Listed[I].Name == Self.Name;
+    Hosts.push_back(Listed[I]);
+  }
+  size_t Sharing = SelfServes ? Hosts.size() : Listed.size();
+  Sizes.emplace_back(Now, static_cast<uint32_t>(Sharing));
 }
 
 uint32_t HostDirectory::sharingHosts(MonotonicTime Now) {
@@ -29,15 +39,9 @@
 
 std::vector<std::string> HostDirectory::addresses() const {
   std::vector<std::string> Out;
-  bool SelfListed = false;
-  for (const EntryHost &Host : Hosts) {
-    bool IsSelf = Host.Name == Self.Name;
-    SelfListed = SelfListed || IsSelf;
-    if (!IsSelf || ready())
+  for (const EntryHost &Host : Hosts)
+    if (Host.Name != Self.Name || ready())
       Out.push_back(Host.CallerAddress);
-  }
-  if (ready() && !SelfListed)
-    Out.push_back(Self.CallerAddress);
   // Callers without any address would ask again at once; this host at least
   // refuses truthfully.
   if (Out.empty())
--- a/entry/host_directory.h
+++ b/entry/host_directory.h
@@ -1,7 +1,8 @@
 // Tells callers where to connect, and the platform whether this host is ready.
 //
-// All ready hosts are named, so that load spreads evenly over hosts also where
-// one zone has few of them; a caller that loses a host has others at once.
+// All hosts of the serving set are named (placement/serving_set.h), so that
+// load spreads evenly over hosts also where one zone has few of them; a caller
+// that loses a host has others at once.
 
 #ifndef MIMOSA_ENTRY_HOST_DIRECTORY_H
 #define MIMOSA_ENTRY_HOST_DIRECTORY_H
@@ -19,8 +20,9 @@
 
   /// Replaces the hosts that the store lists.
   void setHosts(std::vector<EntryHost> Listed, MonotonicTime Now);
-  /// Hosts that may be sending to backend servers: the most that were listed
-  /// within the last 30 s, since a host whose entry is gone may still serve.
+  /// Hosts that this host shares backend servers with: those of the serving
+  /// set, or all if it is not one of them. The most within the last 30 s count,
+  /// since a host whose entry is gone may still serve.
   uint32_t sharingHosts(MonotonicTime Now);
 
   void setConfigured() { Configured = true; }
@@ -35,6 +37,7 @@
   EntryHost Self;
   Duration AddressLifetime;
   Random &Rng;
+  /// The serving set.
   std::vector<EntryHost> Hosts;
   /// Sizes of the list and until when they were current, falling.
   std::vector<std::pair<MonotonicTime, uint32_t>> Sizes;
