Wait briefly in watches after a failure; keep followers through 1 s of it

The leaders lost their watch for 150 ms, 56 followers left them for the store at once, and the watches that they opened right after the history was dropped stayed silent for 5 s. Change: picture/source_health: a picture stays fresh through 1 s of failures, and watches after a failure or a loss of history wait 400 ms, then twice as long each time. Two tests fail without it.

--- a/picture/picture_relay.cpp
+++ b/picture/picture_relay.cpp
@@ -42,13 +42,8 @@
   Tick = Loop.every(TickInterval, [this] { onTick(); });
 }
 
-void PictureRelay::noteSource(bool NowWorks) {
-  if (!NowWorks)
-    LastFailure = Loop.now();
-  bool Lost = Works && !NowWorks;
-  Works = NowWorks;
-  if (Lost)
-    replyAll();
+bool PictureRelay::fresh() const {
+  return Own.listed() && Source.fresh(Loop.now());
 }
 
 PictureReply PictureRelay::replyTo(StoreRevision After) const {
@@ -56,9 +51,9 @@
   if (Own.listed())
     Out = makeReply(Own.since(After));
   Out.Listed = Own.listed();
-  Out.Fresh = Works && Own.listed();
-  if (LastFailure)
-    Out.SinceFailure = Loop.now() - *LastFailure;
+  Out.Fresh = fresh();
+  if (Source.lastFailure())
+    Out.SinceFailure = Loop.now() - *Source.lastFailure();
   return Out;
 }
 
@@ -74,7 +69,7 @@
   std::vector<Follower> Kept;
   std::vector<Follower> Due;
   for (Follower &F : Followers)
-    (F.Until <= Now ? Due : Kept).push_back(std::move(F));
+    (F.Until <= Now || !fresh() ? Due : Kept).push_back(std::move(F));
   Followers = std::move(Kept);
   for (Follower &F : Due)
     F.Reply(MessageType::PictureReply, packBody(replyTo(F.After)));
@@ -90,7 +85,7 @@
     return true;
   }
   const PictureRequest &R = valueOf(Request);
-  bool HasNews = Own.revision() > R.After || !Works || !Own.listed();
+  bool HasNews = Own.revision() > R.After || !fresh();
   if (HasNews || R.Wait <= Duration(0))
     Reply(MessageType::PictureReply, packBody(replyTo(R.After)));
   else
--- a/picture/picture_relay.h
+++ b/picture/picture_relay.h
@@ -12,6 +12,7 @@
 #define MIMOSA_PICTURE_PICTURE_RELAY_H
 
 #include "picture/messages.h"
+#include "picture/source_health.h"
 #include "runtime/peer.h"
 
 namespace mimosa {
@@ -47,13 +48,11 @@
 /// Answers the requests of followers.
 class PictureRelay : public PeerHandler {
 public:
-  explicit PictureRelay(FiberLoop &Loop, const Picture &Own)
-      : Loop(Loop), Own(Own) {}
+  PictureRelay(FiberLoop &Loop, const Picture &Own, const SourceHealth &Source)
+      : Loop(Loop), Own(Own), Source(Source) {}
 
-  /// Starts the timer that ends long waits.
+  /// Starts the timer that ends long waits, and waits for a lost source.
   void start();
-  /// The outcome of this host's last call for its own picture.
-  void noteSource(bool Works);
   /// The picture has changed.
   void changed() { replyAll(); }
 
@@ -66,14 +65,14 @@
     PeerReplier Reply;
   };
 
+  bool fresh() const;
   PictureReply replyTo(StoreRevision After) const;
   void replyAll();
   void onTick();
 
   FiberLoop &Loop;
   const Picture &Own;
-  bool Works = false;
-  std::optional<MonotonicTime> LastFailure;
+  const SourceHealth &Source;
   std::vector<Follower> Followers;
   Subscription Tick;
 };
--- a/picture/picture_test.cpp
+++ b/picture/picture_test.cpp
@@ -110,5 +110,38 @@
   EXPECT_EQ(Third.leader(Now + Seconds(5)), HostId("1"));
 }
 
+// Guards against followers that all turn to the store when their leader loses
+// it for a moment, and against followers that stay with one that has lost it.
+TEST(SourceHealth, ShortFailuresLeaveThePictureFresh) {
+  MonotonicTime Now{Seconds(100)};
+  SourceHealth Source;
+  EXPECT_FALSE(Source.fresh(Now));
+  Source.succeeded();
+  Source.failed(Now);
+  EXPECT_TRUE(Source.fresh(Now + Milliseconds(500)));
+  Source.failed(Now + Milliseconds(900));
+  EXPECT_FALSE(Source.fresh(Now + Milliseconds(1100)));
+  Source.succeeded();
+  EXPECT_TRUE(Source.fresh(Now + Seconds(60)));
+}
+
+// Guards against a configuration that is not in force for 5 s because the
+// watch that was opened after a loss of history stays silent (saules-grown,
+// scale-1: version 4 in use at 7.499 s, 5 s after version 7).
+TEST(SourceHealth, WatchesAfterAFailureWaitBriefly) {
+  SourceHealth Source;
+  Source.succeeded();
+  EXPECT_EQ(Source.watchWait(), Duration(Seconds(25)));
+  Source.distrust();
+  Duration Total{0};
+  for (int I = 0; I < 3; ++I) {
+    Total += Source.watchWait();
+    Source.succeeded();
+  }
+  EXPECT_LE(Total, Duration(Seconds(3)));
+  Source.failed(MonotonicTime(Seconds(1)));
+  EXPECT_LE(Source.watchWait(), Duration(Milliseconds(400)));
+}
+
 } // namespace
 } // namespace mimosa
