Bound each watch to 2 s

The answers to the leaders' watches were lost and the store sends nothing more on such a connection, which stays open; only the end of the 25 s wait showed it.

--- a/picture/source_health.h
+++ b/picture/source_health.h
@@ -20,8 +20,10 @@
 
 class SourceHealth {
 public:
-  /// The store allows waits of up to 30 s, and each call is priced.
-  static constexpr Duration LongestWait = Seconds(25);
+  /// The store's answer may be lost while its connection stays open, so that
+  /// only the end of the wait shows it. Changes must be in force within 3 s
+  /// once the store has been stable for 4 s.
+  static constexpr Duration LongestWait = Milliseconds(2000);
   static constexpr Duration FirstWait = Milliseconds(400);
   static constexpr Duration Grace = Milliseconds(1000);
 
