--- a/runtime/http_server.cpp
+++ b/runtime/http_server.cpp
@@ -1,5 +1,6 @@
 #include "runtime/asio_fiber.h"
 #include "runtime/http.h"
+#include "runtime/log.h"
 
 #include <array>
 #include <boost/beast/core.hpp>
@@ -201,6 +202,9 @@
     if (Written == Bytes.size())
       return true;
     if (Failure && Failure != asio::error::would_block) {
+      logRequest("http",
+                 "event=answer_not_written connection=" + std::to_string(Id) +
+                     " reason=\"" + Failure.message() + "\"");
       if (Latest)
         Latest->report(Failure == asio::error::timed_out
                            ? CallerLoss::Unreachable
@@ -211,6 +215,8 @@
     Socket.async_wait(tcp::socket::wait_write,
                       [Writable](error_code) { Writable->set(); });
     if (!Writable->waitUntil(Deadline)) {
+      logRequest("http",
+                 "event=answer_not_read connection=" + std::to_string(Id));
       if (Latest)
         Latest->report(CallerLoss::Unreachable);
       return false;
--- /dev/null
+++ b/tools/platform_stand_in.py
@@ -0,0 +1,254 @@
+"""Stand-ins for the users' platform: its metadata store and its searchers.
+
+Both speak HTTP/1.1 by the published protocol, in threads of the test process,
+and can be told to misbehave:
+
+    store = Store()
+    store.put("op/config", {...})
+    store.down = True            # closes every connection
+    store.lose_answers = True    # does what is asked and sends nothing back
+    searcher = Searcher("shard-1", "i-1", records=[b"..."])
+    searcher.delay_s = 0.2
+"""
+
+from __future__ import annotations
+
+import base64
+import http.server
+import json
+import threading
+import time
+import urllib.parse
+from typing import Any
+
+LOCALHOST = "127.0.0.1"
+RECORD_BYTES = 16
+
+
+class _Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 128
+
+    def handle_error(self, *_: object) -> None:
+        """Connections end in many ways here; none is worth a trace."""
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    owner: Any = None
+
+    def log_message(self, *_: object) -> None:
+        """Prints nothing."""
+
+    def do_GET(self) -> None:  # The names are set by the base class.
+        self.owner.handle(self)
+
+    do_POST = do_GET
+    do_DELETE = do_GET
+
+    def body(self) -> bytes:
+        return self.rfile.read(int(self.headers.get("Content-Length") or 0))
+
+    def answer(self, status: int, body: bytes, headers: dict[str, str] | None = None) -> None:
+        self.send_response(status)
+        for name, value in (headers or {}).items():
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class _StandIn:
+    def __init__(self) -> None:
+        handler = type("Handler", (_Handler,), {"owner": self})
+        self._server = _Server((LOCALHOST, 0), handler)
+        self.address = f"{LOCALHOST}:{self._server.server_address[1]}"
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def close(self) -> None:
+        """Stops listening; the address then refuses connections."""
+        self._server.shutdown()
+        self._server.server_close()
+
+
+class Store(_StandIn):
+    """The metadata store, without limits on calls."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, dict[str, Any]] = {}
+        self.events: list[dict[str, Any]] = []
+        self.leases: dict[int, tuple[float, float]] = {}
+        self.revision = 1
+        self.oldest_event = 1
+        self.down = False
+        self.lose_answers = False
+        self.calls: dict[str, int] = {}
+        self._changed = threading.Condition()
+        super().__init__()
+
+    def put(self, key: str, value: object) -> None:
+        text = value if isinstance(value, bytes) else json.dumps(value).encode()
+        with self._changed:
+            self._write(key, base64.b64encode(text).decode(), 0)
+
+    def remove(self, key: str) -> None:
+        with self._changed:
+            self._remove(key)
+
+    def forget_history(self) -> None:
+        """Drops all events, as the platform may do at any time."""
+        with self._changed:
+            self.events.clear()
+            self.oldest_event = self.revision
+            self._changed.notify_all()
+
+    def keys(self, prefix: str) -> list[str]:
+        with self._changed:
+            self._expire()
+            return sorted(key for key in self.items if key.startswith(prefix))
+
+    def _write(self, key: str, value: str, lease: int) -> None:
+        self.revision += 1
+        created = self.items.get(key, {}).get("created", self.revision)
+        item = {"key": key, "value": value, "revision": self.revision,
+                "created": created, "lease": lease}
+        self.items[key] = item
+        self.events.append(item)
+        self._changed.notify_all()
+
+    def _remove(self, key: str) -> None:
+        if self.items.pop(key, None) is None:
+            return
+        self.revision += 1
+        self.events.append({"key": key, "revision": self.revision, "removed": True})
+        self._changed.notify_all()
+
+    def _expire(self) -> None:
+        now = time.monotonic()
+        for lease, (end, _) in list(self.leases.items()):
+            if end < now:
+                self._end_lease(lease)
+
+    def _end_lease(self, lease: int) -> None:
+        self.leases.pop(lease, None)
+        for key in [k for k, item in self.items.items() if item["lease"] == lease]:
+            self._remove(key)
+
+    def handle(self, call: _Handler) -> None:
+        body = call.body()
+        path, _, query = call.path.partition("?")
+        name = path.split("/")[1]
+        self.calls[name] = self.calls.get(name, 0) + 1
+        if self.down:
+            call.close_connection = True
+            return
+        fields = {k: v[0] for k, v in urllib.parse.parse_qs(
+            query, keep_blank_values=True).items()}
+        status, answer = self._answer(name, path, fields, json.loads(body) if body else {})
+        if self.lose_answers:
+            # Nothing more comes on this connection, and it stays open.
+            while self.lose_answers:
+                time.sleep(0.05)
+            time.sleep(3600)
+        call.answer(status, json.dumps(answer).encode(), {"Content-Type": "application/json"})
+
+    def _answer(self, name: str, path: str, fields: dict[str, str],
+                body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        with self._changed:
+            self._expire()
+            if name == "kv-range":
+                found = [item for key, item in sorted(self.items.items())
+                         if key.startswith(fields["prefix"]) and key > fields.get("after", "")]
+                # Small pages, so that callers must ask for more.
+                return 200, {"items": found[:7], "hasMore": len(found) > 7,
+                             "storeRevision": self.revision}
+            if name == "kv-watch":
+                return self._watch(fields)
+            if name == "kv-lease":
+                lease = 1000 + self.revision + len(self.leases)
+                ttl_s = body["ttlMs"] / 1000
+                self.leases[lease] = (time.monotonic() + ttl_s, ttl_s)
+                return 200, {"lease": lease, "ttlMs": body["ttlMs"]}
+            lease = int(path.split("/")[2]) if path.count("/") > 1 else 0
+            if name == "kv-keep":
+                if lease not in self.leases:
+                    return 404, {}
+                ttl_s = self.leases[lease][1]
+                self.leases[lease] = (time.monotonic() + ttl_s, ttl_s)
+                return 200, {"ttlMs": int(ttl_s * 1000)}
+            if name == "kv-lease-end":
+                self._end_lease(lease)
+                return 200, {}
+            if name == "kv-txn":
+                for write in body["writes"]:
+                    if write["lease"] and write["lease"] not in self.leases:
+                        return 404, {}
+                for write in body["writes"]:
+                    self._write(write["key"], write["value"], write["lease"])
+                return 200, {"revision": self.revision}
+        return 404, {}
+
+    def _watch(self, fields: dict[str, str]) -> tuple[int, dict[str, Any]]:
+        after = int(fields["after"])
+        end = time.monotonic() + int(fields["waitMs"]) / 1000
+        while True:
+            if after < self.oldest_event - 1 or (after < self.revision and not self.events):
+                return 410, {}
+            found = [event for event in self.events if event["revision"] > after
+                     and event["key"].startswith(fields["prefix"])]
+            left = end - time.monotonic()
+            if found or left <= 0:
+                return 200, {"events": found, "storeRevision": self.revision}
+            self._changed.wait(min(left, 0.1))
+            self._expire()
+
+
+class Searcher(_StandIn):
+    """One searcher; counts what it ran by the id of the request."""
+
+    def __init__(self, service: str, name: str, records: list[bytes] | None = None,
+                 zone: str = "z1") -> None:
+        self.service = service
+        self.name = name
+        self.zone = zone
+        self.records = records or []
+        self.delay_s = 0.0
+        self.sheds = False
+        self.loses_answers = False
+        self.answers_twice = False
+        self.ran: list[tuple[str, str, bytes]] = []
+        self.last_arrival = 0.0
+        self.sequence = 0
+        self._lock = threading.Lock()
+        super().__init__()
+
+    def entry(self, state: str = "ready") -> dict[str, Any]:
+        self.sequence += 1
+        return {"service": self.service, "address": self.address, "zone": self.zone,
+                "version": "v1", "slots": 4, "state": state, "coldLeftMs": 0,
+                "sequence": self.sequence, "born": 1}
+
+    def stamp(self, request_id: str) -> str:
+        return f"{self.name}.{request_id}"
+
+    def handle(self, call: _Handler) -> None:
+        body = call.body()
+        request_id = call.headers.get("Attempt-Id", "")
+        self.last_arrival = time.monotonic()
+        if call.headers.get("Expect-Instance") != self.name:
+            return call.answer(421, b"", {"Instance-Id": self.name})
+        if self.sheds:
+            return call.answer(503, b"", {"Not-Executed": "1"})
+        with self._lock:
+            self.ran.append((request_id, f"{call.command} {call.path}", body))
+        time.sleep(self.delay_s)
+        if self.loses_answers:
+            call.close_connection = True
+            return None
+        headers = {"Server-Stamp": self.stamp(request_id), "Attempt-Id": request_id,
+                   "Keep-Alive": "timeout=30"}
+        content = b"".join(self.records) or b"echo:" + body
+        call.answer(200, content, headers)
+        if self.answers_twice:
+            call.answer(200, b"stray", {**headers, "Attempt-Id": "another"})
+        return None
