--- a/entry/entry_options.cpp
+++ b/entry/entry_options.cpp
@@ -15,7 +15,7 @@
   std::string Seeds;
   int64_t AddressLifetimeS = Out.AddressLifetime / Seconds(1);
   int64_t LongestLifetimeS = 5;
-  int64_t StopLimitMs = inMilliseconds(Out.StopLimit);
+  double StopLimitS = inSeconds(Out.StopLimit);
   int64_t WindowMs = inMilliseconds(Out.RetryBudget.Window);
   auto Descriptors = static_cast<int64_t>(Out.MaxDescriptors);
   Settings Parser("mimosa-entry", "entry daemon of mimosawall for searches "
@@ -53,8 +53,8 @@
                 &AddressLifetimeS, 1, 60);
   Parser.number("longest-address-lifetime-s", "bound of the above",
                 &LongestLifetimeS, 1, 3600);
-  Parser.number("stop-limit-ms", "longest wait of a graceful stop",
-                &StopLimitMs, 500, 600000);
+  Parser.decimal("stop-limit-s", "longest wait of a graceful stop", &StopLimitS,
+                 0.5, 600);
   Parser.number("max-descriptors", "sockets and files of this process",
                 &Descriptors, 300, 10000000);
   Parser.decimal("core-share", "share of a core that may be used",
@@ -70,7 +70,7 @@
       Out.Seeds.emplace_back(One);
   Out.RetryBudget.Window = Milliseconds(WindowMs);
   Out.AddressLifetime = Seconds(std::min(AddressLifetimeS, LongestLifetimeS));
-  Out.StopLimit = Milliseconds(StopLimitMs);
+  Out.StopLimit = Duration(static_cast<int64_t>(StopLimitS * 1e6));
   Out.MaxDescriptors = static_cast<size_t>(Descriptors);
   return Out;
 }
--- a/entry/host_directory.cpp
+++ b/entry/host_directory.cpp
@@ -15,6 +15,7 @@
   if (!Sizes.empty())
     Sizes.back().first = Now;
   std::vector<ServingCandidate> Candidates;
+  Candidates.reserve(Listed.size());
   for (const EntryHost &Host : Listed)
     Candidates.push_back({Host.Name, Host.Zone, Host.Capacity, Host.Busy});
   Hosts.clear();
--- a/picture/picture_test.cpp
+++ b/picture/picture_test.cpp
@@ -76,6 +76,7 @@
       Leader.apply(Change);
     if (Missed || *rc::gen::inRange(0, 20) == 0) {
       std::vector<StoreItem> Listing;
+      Listing.reserve(Store.size());
       for (const auto &[Name, Item] : Store)
         Listing.push_back(Item);
       Leader.replace(Listing, StoreRevision(Revision));
