--- a/balance/call_scheduler.cpp
+++ b/balance/call_scheduler.cpp
@@ -316,6 +316,7 @@
       Malformed ? BackendFailure::BadAnswer : BackendFailure::Down, Now);
   ServiceId Service = Of.Server->entry().Service;
   if (It != Calls.end()) {
+    It->second.Lost += Malformed ? 0 : 1;
     It->second.LastReason = CallReason::Lost;
     retryOrEnd(It, Now);
   }
@@ -364,6 +365,7 @@
     Result.Answer = std::move(*Answer);
   Result.Server = Of.LastServer;
   Result.Sends = Of.Sends;
+  Result.Lost = Of.Lost;
   Of.Observer->callEnded(Id, std::move(Result));
 }
 
--- a/balance/call_scheduler.h
+++ b/balance/call_scheduler.h
@@ -78,6 +78,8 @@
   /// The backend server that answered or was tried last; empty if none was.
   BackendServerId Server;
   uint32_t Sends = 0;
+  /// Sends whose connection was lost while the request may have been running.
+  uint32_t Lost = 0;
 };
 
 /// A call that has not ended, for logs.
@@ -190,6 +192,7 @@
     /// Sends that may have run.
     uint32_t MayHaveRun = 0;
     uint32_t Sends = 0;
+    uint32_t Lost = 0;
     std::vector<AttemptId> Open;
     std::vector<BackendServerPtr> Tried;
     std::optional<BackendAnswer> Failure;
--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -45,7 +45,9 @@
                       Options.PeerAddress, Options.Zone,
                       Options.CoreShare * Options.CoreSpeed},
       Registry(Options.Zone, Rng), Channels(Loop, Registry),
-      Calls(Registry, Channels), Service(Loop, Registry, Calls, Metrics, Rng),
+      Calls(Registry, Channels),
+      Crashes(Options.PeerAddress, Incarnation(Seed)),
+      Service(Loop, Registry, Calls, Crashes, Metrics, Rng),
       Directory(Self, Options.AddressLifetime, Rng),
       Store(Loop, Options.StoreAddress),
       Feed(Loop, Store, Self, Options.Seeds, *this), Pages(Directory),
@@ -53,8 +55,9 @@
       Callers(Loop, serverOptions(Options.CallerAddress), Service),
       ReadyServer(Loop, serverOptions(Options.ReadyAddress), Pages),
       DirectoryServer(Loop, serverOptions(Options.DirectoryAddress), Pages),
-      PeersIn(Loop, Options.PeerAddress.text(), Feed.peerHandler(), Traffic) {
+      PeersIn(Loop, Options.PeerAddress.text(), *this, Traffic) {
   Channels.reportTo(Calls);
+  Service.onStrike([this](const StrikeNotice &N) { tellStrike(N); });
   Calls.onEarlierWake([this] { TimerChanged.set(); });
   if (!Options.MetricsAddress.empty())
     MetricsServer = std::make_unique<HttpServer>(
@@ -208,6 +211,10 @@
 
 void EntryNode::hostsChanged(std::vector<EntryHost> Hosts) {
   logInfo("node", "event=hosts_listed hosts=" + std::to_string(Hosts.size()));
+  OtherHosts.clear();
+  for (const EntryHost &Host : Hosts)
+    if (Host.PeerAddress != Self.PeerAddress)
+      OtherHosts.push_back(Host.PeerAddress);
   Directory.setHosts(std::move(Hosts), Loop.now());
   Registry.setHosts(Directory.sharingHosts(Loop.now()));
 }
@@ -219,6 +226,23 @@
     logWarn("node", "event=store_lost reason=\"" + Why + "\"");
 }
 
+bool EntryNode::handleFrame(const PeerFrame &Frame, PeerReplier Reply) {
+  if (Frame.Type != MessageType::StrikeNotice)
+    return Feed.peerHandler().handleFrame(Frame, std::move(Reply));
+  Result<StrikeNotice> Notice = unpackBody<StrikeNotice>(Frame.Body);
+  if (ok(Notice))
+    Crashes.received(valueOf(Notice), Loop.now());
+  else
+    logWarn("node",
+            "event=bad_strike reason=\"" + errorOf(Notice).Message + "\"");
+  return true;
+}
+
+void EntryNode::tellStrike(const StrikeNotice &Notice) {
+  for (const HostId &Host : OtherHosts)
+    Feed.peers().send(Host, MessageType::StrikeNotice, packBody(Notice));
+}
+
 void EntryNode::reload(const EntryOptions &NewOptions) {
   Options.RetryBudget = NewOptions.RetryBudget;
   Options.ColdOverage = NewOptions.ColdOverage;
--- a/entry/entry_node.h
+++ b/entry/entry_node.h
@@ -12,7 +12,7 @@
 
 namespace mimosa {
 
-class EntryNode : private PlatformListener {
+class EntryNode : private PlatformListener, private PeerHandler {
 public:
   EntryNode(FiberLoop &Loop, EntryOptions Options, uint64_t Seed);
 
@@ -56,6 +56,8 @@
   void hostsChanged(std::vector<EntryHost> Hosts) override;
   void storeReachable(bool Reachable, const std::string &Why) override;
 
+  bool handleFrame(const PeerFrame &Frame, PeerReplier Reply) override;
+  void tellStrike(const StrikeNotice &Notice);
   void runTimers();
   void onSecond();
   void noteLoad();
@@ -71,6 +73,7 @@
   ServerRegistry Registry;
   BackendChannels Channels;
   CallScheduler Calls;
+  CrashWatch Crashes;
   EntryService Service;
   HostDirectory Directory;
   MetadataStore Store;
@@ -83,6 +86,8 @@
   PeerTraffic Traffic;
   PeerServer PeersIn;
   std::unique_ptr<HttpServer> MetricsServer;
+  /// The hosts that callers are sent to, and others.
+  std::vector<HostId> OtherHosts;
   uint64_t SendsBefore = 0;
   bool Busy = false;
   FiberEvent TimerChanged;
--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -19,6 +19,8 @@
 constexpr Duration OverloadedRetry = Milliseconds(60);
 /// Backend servers that are down are tried again after 250 ms.
 constexpr Duration UnavailableRetry = Milliseconds(150);
+/// A request that crashes backend servers stays refused for minutes.
+constexpr Duration ContainedRetry = Seconds(10);
 /// Callers that were refused together come back spread over this share of the
 /// time.
 constexpr double RetrySpread = 0.5;
@@ -102,6 +104,18 @@
                             std::to_string(Elapsed.count()) + " " + Detail);
 }
 
+void EntryService::noteCrashes(const Passage &P, const ServiceId &Service,
+                               uint32_t Lost, bool Succeeded) {
+  auto Strike = Crashes.ended(P.Print, Service, Lost, Succeeded, Loop.now());
+  if (!Strike)
+    return;
+  logRequest("request", "event=strike request=" + idOf(*P.Request) +
+                            " service=" + Service.text() +
+                            " lost=" + std::to_string(Lost));
+  if (TellStrike)
+    TellStrike(*Strike);
+}
+
 HttpResponse EntryService::refuse(const Passage &P, ResultCode Code,
                                   const std::string &Why, Duration RetryAfter) {
   note(P, "refused",
@@ -159,7 +173,13 @@
       Request.ArrivedAt +
       std::max<Duration>(Allowed - WayBack, Milliseconds(1));
   GatherTimes Times = gatherTimes(*Found, Request.ArrivedAt, Deadline);
-  Passage P{*Found, Table, In.Request, Caller, Request.ArrivedAt, Times};
+  std::string_view Head = In.Request->Head;
+  Fingerprint Print = requestFingerprint(
+      In.Host, Head.substr(0, Head.find('\r')), In.Request->Body);
+  Passage P{*Found, Table, In.Request, Caller, Request.ArrivedAt, Times, Print};
+  if (Crashes.contained(Print, Loop.now()))
+    return refuse(P, ResultCode::Quarantined, "crashes_backend_servers",
+                  ContainedRetry);
   ++InFlight;
   HttpResponse Out = Found->isGather() ? serveGather(P) : serveSingle(P);
   --InFlight;
@@ -180,6 +200,7 @@
     return callerLeft(P);
   }
   CallResult &R = *Observer.Result;
+  noteCrashes(P, *Service, R.Lost, R.Outcome == CallOutcome::Answered);
   std::string Detail = "service=" + Service->text() +
                        " server=" + R.Server.text() +
                        " sends=" + std::to_string(R.Sends) +
@@ -246,6 +267,8 @@
     MayHaveRun =
         Calls.cancel(Ids[I], P.Caller->lost(), Loop.now()) || MayHaveRun;
   }
+  noteCrashes(P, P.Path.Shards.front(), Query.lost(),
+              Query.missing() < Query.total());
   if (P.Caller->lost())
     return callerLeft(P);
   std::string Detail = "shards=" + std::to_string(Query.total()) +
--- a/entry/entry_service.h
+++ b/entry/entry_service.h
@@ -7,6 +7,7 @@
 #include "balance/call_scheduler.h"
 #include "gather/gather_query.h"
 #include "platform/caller_wire.h"
+#include "quarantine/crash_watch.h"
 #include "routing/route_table.h"
 #include "routing/weighted_rotation.h"
 #include "runtime/http.h"
@@ -17,9 +18,15 @@
 class EntryService : public HttpHandler {
 public:
   EntryService(FiberLoop &Loop, ServerRegistry &Registry, CallScheduler &Calls,
-               MetricsRegistry &Metrics, Random &Rng)
-      : Loop(Loop), Registry(Registry), Calls(Calls), Metrics(Metrics),
-        Rng(Rng) {}
+               CrashWatch &Crashes, MetricsRegistry &Metrics, Random &Rng)
+      : Loop(Loop), Registry(Registry), Calls(Calls), Crashes(Crashes),
+        Metrics(Metrics), Rng(Rng) {}
+
+  /// Calls \p Tell with each strike of this host, see
+  /// quarantine/crash_watch.h.
+  void onStrike(std::function<void(const StrikeNotice &)> Tell) {
+    TellStrike = std::move(Tell);
+  }
 
   void setRoutes(std::shared_ptr<const RouteTable> Table) {
     Routes = std::move(Table);
@@ -41,6 +48,7 @@
     std::shared_ptr<CallerSignals> Caller;
     MonotonicTime ArrivedAt;
     GatherTimes Times;
+    Fingerprint Print;
   };
 
   HttpResponse serveSingle(const Passage &P);
@@ -49,6 +57,8 @@
                       Duration RetryAfter);
   HttpResponse fail(const Passage &P, bool TimedOut, const std::string &Why);
   HttpResponse callerLeft(const Passage &P);
+  void noteCrashes(const Passage &P, const ServiceId &Service, uint32_t Lost,
+                   bool Succeeded);
   void note(const Passage &P, const char *Outcome, const std::string &Detail);
   CallRequest callRequest(const Passage &P, const ServiceId &Service) const;
   Duration retryAfter(CallReason Reason);
@@ -57,10 +67,12 @@
   FiberLoop &Loop;
   ServerRegistry &Registry;
   CallScheduler &Calls;
+  CrashWatch &Crashes;
   MetricsRegistry &Metrics;
   Random &Rng;
   std::shared_ptr<const RouteTable> Routes;
   std::unordered_map<RouteId, WeightedRotation> Rotations;
+  std::function<void(const StrikeNotice &)> TellStrike;
   bool Refusing = false;
   size_t InFlight = 0;
 };
--- a/gather/gather_query.cpp
+++ b/gather/gather_query.cpp
@@ -29,6 +29,7 @@
 
 void GatherQuery::part(const CallResult &Result) {
   ++Ended;
+  Lost += Result.Lost;
   if (Result.Outcome != CallOutcome::NotRun)
     MayHaveRun = true;
   if (Result.Outcome != CallOutcome::Answered || !Result.Answer.success()) {
--- a/gather/gather_query.h
+++ b/gather/gather_query.h
@@ -54,6 +54,8 @@
   /// Whether a backend server may have run a part whose call has ended.
   bool mayHaveRun() const { return MayHaveRun; }
   CallReason lastReason() const { return LastReason; }
+  /// Sends that were lost while a backend server may have run them.
+  uint32_t lost() const { return Lost; }
 
 private:
   size_t Total;
@@ -63,6 +65,7 @@
   std::vector<std::string> Signatures;
   TopRecords Top;
   bool MayHaveRun = false;
+  uint32_t Lost = 0;
   CallReason LastReason = CallReason::None;
 };
 
--- a/quarantine/quarantine_test.cpp
+++ b/quarantine/quarantine_test.cpp
@@ -1,3 +1,4 @@
+#include "quarantine/crash_watch.h"
 #include "quarantine/quarantine.h"
 #include "quarantine/strike_broadcast.h"
 
@@ -9,6 +10,30 @@
 namespace mimosa {
 namespace {
 
+// Guards against a request that crashes one backend server after the other
+// because its caller sends it again, each time to another host; and against a
+// harmless query that is refused because some of its parts were lost.
+TEST(CrashWatch, RepeatedCrashesAreContainedAtAllHosts) {
+  MonotonicTime Now{Seconds(100)};
+  CrashWatch A(HostId("a"), Incarnation(1));
+  CrashWatch B(HostId("b"), Incarnation(1));
+  Fingerprint Bad = requestFingerprint("h", "GET /x HTTP/1.1", "");
+  EXPECT_NE(Bad, requestFingerprint("h", "GET /y HTTP/1.1", ""));
+  EXPECT_NE(Bad, requestFingerprint("h", "GET /x HTTP/1.1", "body"));
+  EXPECT_FALSE(A.ended(Bad, ServiceId("s"), 3, true, Now));
+  EXPECT_FALSE(A.ended(Bad, ServiceId("s"), 0, false, Now));
+  auto First = A.ended(Bad, ServiceId("s"), 1, false, Now);
+  ASSERT_TRUE(First);
+  B.received(*First, Now);
+  B.received(*First, Now);
+  EXPECT_FALSE(B.contained(Bad, Now));
+  auto Second = B.ended(Bad, ServiceId("s"), 1, false, Now);
+  ASSERT_TRUE(Second);
+  A.received(*Second, Now);
+  EXPECT_TRUE(A.contained(Bad, Now));
+  EXPECT_TRUE(B.contained(Bad, Now));
+}
+
 const MonotonicTime Start{Seconds(1000)};
 const ServiceId Service("storm");
 const Fingerprint Bad(13);
--- a/tools/entry_test.py
+++ b/tools/entry_test.py
@@ -176,6 +176,18 @@
         self.assertEqual(status, 502)
         self.assertEqual(sum(one[0] == request_id for s in self.single for one in s.ran), 1)
 
+    def test_request_that_crashes_searchers_is_contained(self) -> None:
+        # Guards against a request that brings down one searcher after the other
+        # because its caller sends it again.
+        for searcher in self.single:
+            searcher.loses_answers = True
+        tries = [self.request("/one/bad", b"abc")[0] for _ in range(4)]
+        self.assertEqual(tries, [502, 502, 503, 503])
+        for searcher in self.single:
+            searcher.loses_answers = False
+        self.assertEqual(self.request("/one/bad", b"abc")[0], 503)
+        self.eventually(2, lambda: self.request("/one/good", b"abc")[0] == 200)
+
     def test_declined_request_runs_elsewhere_or_is_refused(self) -> None:
         # Guards against a refusal while another searcher has room, and against
         # a refusal that does not say when to come back.
