Count an unanswered canary as a strike once its request has one

Change: after a strike, a canary that ends without an answer is another one, and is told to the other hosts.

--- a/daemon/query_passage.cpp
+++ b/daemon/query_passage.cpp
@@ -189,6 +189,12 @@
   IsCanary = false;
   CanaryOutcome Outcome =
       Service.Guard.canaryEnded(Request.Service, Print, Id, End, now());
+  // The passage may be gone before the strike has been sent.
+  if (Outcome.Strike)
+    Service.Context.Loop.spawn(
+        [&Tell = Service.Strikes, S = *Outcome.Strike, Hosts = Node.hosts()] {
+          Tell.broadcast(S, Hosts);
+        });
   Service.release(Outcome.Released);
 }
 
--- a/proof/service_rig_queries.cpp
+++ b/proof/service_rig_queries.cpp
@@ -292,9 +292,13 @@
     Given.Complete = true;
   }
   Q->Answered = true;
-  if (Q->Print && !Q->GuardEnded && Q->GuardId != RequestId())
-    Guards[Q->Root].canaryEnded(ServiceId("storm"), *Q->Print, Q->GuardId,
-                                CanaryEnd::Undecided, Time.Now);
+  if (Q->Print && !Q->GuardEnded && Q->GuardId != RequestId()) {
+    CanaryOutcome Ended =
+        Guards[Q->Root].canaryEnded(ServiceId("storm"), *Q->Print, Q->GuardId,
+                                    CanaryEnd::Undecided, Time.Now);
+    if (Ended.Strike)
+      Guards[3 - Q->Root].strikeReceived(*Ended.Strike, Time.Now);
+  }
   if (Q->Claimed && Claims.Running.count(Q->Claim) > 0)
     Claims.finish(Q->Claim, Given.Outcome != Execution::NotRun);
   Event E{Time.Now, EventKind::Answer, hostName(Q->Root).text(), Q->Id};
--- a/quarantine/quarantine.cpp
+++ b/quarantine/quarantine.cpp
@@ -51,7 +51,14 @@
   CanaryOutcome Outcome;
   // A canary that was given up after its lifetime can still lose its backend
   // server, and a strike counts whoever runs the canary now.
-  if (End == CanaryEnd::BackendLost) {
+  // A canary without an answer may have lost it unseen, when its request was
+  // cancelled at the same moment. A fingerprint that has a strike does not get
+  // the benefit of that doubt.
+  bool Struck =
+      End == CanaryEnd::BackendLost ||
+      (End == CanaryEnd::Undecided && Strikes.strikes(Print, Now) > 0 &&
+       !Strikes.quarantined(Print, Now));
+  if (Struck) {
     ++Counters.OwnStrikes;
     Outcome.Strike = StrikeNotice{
         {Host, HostIncarnation, ++LastSequence}, Service, Print, Duration(0)};
--- a/quarantine/quarantine.h
+++ b/quarantine/quarantine.h
@@ -17,7 +17,8 @@
 //   waiting request becomes the next canary, after the second one all of them
 //   are refused;
 // * undecided (cancelled, refused by the backend server, deadline): the longest
-//   waiting request becomes the next canary.
+//   waiting request becomes the next canary; but after a strike this counts as
+//   another one, since the backend server may have been lost unseen.
 // They wait rather than share the canary's answer, since their deadlines and
 // their places in the queues differ. So one host loses at most two backend
 // servers to a fingerprint within 10 min, however often it is sent at once.
--- a/quarantine/quarantine_test.cpp
+++ b/quarantine/quarantine_test.cpp
@@ -10,6 +10,27 @@
 namespace mimosa {
 namespace {
 
+// Guards against a third lost backend server: a canary that is cancelled at its
+// deadline while its backend server crashes reports no loss, and after an
+// earlier strike the next one would be a third (fault matrix, taking over:
+// crashing request + silent connection).
+TEST(Quarantine, ACanaryWithoutAnAnswerAfterAStrikeIsAnother) {
+  MonotonicTime Now{Seconds(100)};
+  Quarantine Guard(HostId("a"), Incarnation(1));
+  Fingerprint Print(7);
+  ServiceId Service("storm");
+  ASSERT_EQ(Guard.decide(Print, RequestId(1), Now), QuarantineDecision::Canary);
+  Guard.canaryEnded(Service, Print, RequestId(1), CanaryEnd::Undecided, Now);
+  EXPECT_EQ(Guard.strikes(Print, Now), 0u);
+  ASSERT_EQ(Guard.decide(Print, RequestId(2), Now), QuarantineDecision::Canary);
+  Guard.canaryEnded(Service, Print, RequestId(2), CanaryEnd::BackendLost, Now);
+  ASSERT_EQ(Guard.decide(Print, RequestId(3), Now), QuarantineDecision::Canary);
+  CanaryOutcome Ended = Guard.canaryEnded(Service, Print, RequestId(3),
+                                          CanaryEnd::Undecided, Now);
+  EXPECT_TRUE(Ended.Strike);
+  EXPECT_EQ(Guard.decide(Print, RequestId(4), Now), QuarantineDecision::Refuse);
+}
+
 // Guards against a request that crashes one backend server after the other
 // because its caller sends it again, each time to another host; and against a
 // harmless query that is refused because some of its parts were lost.
