--- a/picture/messages.h
+++ b/picture/messages.h
@@ -38,6 +38,13 @@
   MSGPACK_DEFINE_MAP(Fresh, Listed, Whole, Upto, SinceFailure, Items);
 };
 
+/// Message 42: tells a host that may have just started whom it can ask for a
+/// picture.
+struct PictureOffer {
+  HostId Sender;
+  MSGPACK_DEFINE_MAP(Sender);
+};
+
 PictureReply makeReply(const PictureChanges &Changes);
 PictureChanges changesOf(PictureReply Reply);
 
--- a/runtime/peer.h
+++ b/runtime/peer.h
@@ -52,6 +52,7 @@
   DispatchCancel = 32,
   PictureRequest = 40,
   PictureReply = 41,
+  PictureOffer = 42,
 };
 
 /// One past the highest known type.
--- a/tools/entry_test.py
+++ b/tools/entry_test.py
@@ -269,6 +269,42 @@
         second.wait_ready()
         self.assert_whole(second)
 
+    def test_host_that_restarts_without_the_store_is_offered_a_picture(self) -> None:
+        # Guards against a host that serves nothing because it restarted while
+        # its zone was cut off, and none of its seeds is in that zone.
+        second = Entry("h2", self.store.address, self.ports[5:])
+        self.addCleanup(second.stop)
+        second.wait_ready()
+        self.eventually(2, lambda: len(self.store.keys("mimosa/hosts/")) == 2)
+        time.sleep(0.5)
+        second.process.send_signal(signal.SIGTERM)
+        self.assertEqual(second.process.wait(GRACE_S), 0)
+        again = Entry("h2", f"{LOCALHOST}:1", self.ports[5:])
+        self.addCleanup(again.stop)
+        again.wait_ready()
+        self.assert_whole(again)
+
+    def test_followers_of_a_stopping_host_stay_current(self) -> None:
+        # Guards against a host that follows a stopping one, whose picture no
+        # longer changes: h1 follows the store for h2.
+        second = Entry("h2", self.store.address, self.ports[5:])
+        self.addCleanup(second.stop)
+        second.wait_ready()
+        self.eventually(2, lambda: len(self.store.keys("mimosa/hosts/")) == 2)
+        time.sleep(1)
+        # The watch that runs at the signal ends with another change, before h1
+        # has left the list.
+        self.store.delays_s["kv-lease-end"] = 0.3
+        self.entry.process.send_signal(signal.SIGTERM)
+        time.sleep(0.1)
+        self.configure()
+        time.sleep(0.4)
+        self.configure(accounts="other")
+        self.eventually(IN_FORCE_S, lambda: (
+            self.request("/one/x", b"abc", entry=second), self.other.ran)[1])
+        self.assertEqual(self.entry.process.wait(GRACE_S), 0)
+        self.entry = second
+
     def test_hosts_know_each_other(self) -> None:
         # Guards against callers that are sent to a host that has gone.
         second = Entry("h2", self.store.address, self.ports[5:], seeds=self.entry.peer)
--- a/tools/platform_stand_in.py
+++ b/tools/platform_stand_in.py
@@ -83,6 +83,8 @@
         self.down = False
         self.lose_answers = False
         self.calls: dict[str, int] = {}
+        #: Seconds that a call of this name waits before it is done.
+        self.delays_s: dict[str, float] = {}
         self._changed = threading.Condition()
         super().__init__()
 
@@ -139,6 +141,7 @@
         path, _, query = call.path.partition("?")
         name = path.split("/")[1]
         self.calls[name] = self.calls.get(name, 0) + 1
+        time.sleep(self.delays_s.get(name, 0))
         if self.down:
             call.close_connection = True
             return
