Remove two functions that nothing calls

Cause: ServerRegistry::retain() and RetryBudget::left() lost their callers when the picture took over listings and the hedge reserve became a share. Change: both are removed; behaviour is as before. Measured: mimosa-entry and balance_test build, 16 tests of balance pass.

--- a/balance/retry_budget.cpp
+++ b/balance/retry_budget.cpp
@@ -36,11 +36,6 @@
   return {UsedShare * Bound, static_cast<double>(Extra)};
 }
 
-double RetryBudget::left(MonotonicTime Now) {
-  auto [Bound, Taken] = use(Now);
-  return Bound - Taken;
-}
-
 bool RetryBudget::takeExtra(MonotonicTime Now, double Reserve) {
   auto [Bound, Taken] = use(Now);
   if (Taken + 1 > Bound * (1 - Reserve))
--- a/balance/retry_budget.h
+++ b/balance/retry_budget.h
@@ -38,8 +38,6 @@
   /// Takes one extra send; false if none is left. \p Reserve is the share of
   /// the bound that is left to others.
   bool takeExtra(MonotonicTime Now, double Reserve = 0);
-  /// Extra sends that could be taken now.
-  double left(MonotonicTime Now);
 
 private:
   /// Counts of a slice of time.
--- a/balance/server_registry.cpp
+++ b/balance/server_registry.cpp
@@ -78,15 +78,6 @@
   return true;
 }
 
-void ServerRegistry::retain(const std::set<BackendServerId> &Kept) {
-  std::vector<BackendServerId> Gone;
-  for (const auto &[Id, Server] : ById)
-    if (!Kept.count(Id))
-      Gone.push_back(Id);
-  for (const BackendServerId &Id : Gone)
-    remove(Id);
-}
-
 void ServerRegistry::setZonesOut(std::set<AvailabilityZoneId> Zones) {
   ZonesOut = std::move(Zones);
 }
--- a/balance/server_registry.h
+++ b/balance/server_registry.h
@@ -52,8 +52,6 @@
   bool put(BackendServerEntry Entry, MonotonicTime Now);
   /// The backend server is gone; false if it was not known.
   bool remove(const BackendServerId &Id);
-  /// Removes all but \p Kept.
-  void retain(const std::set<BackendServerId> &Kept);
   void setZonesOut(std::set<AvailabilityZoneId> Zones);
 
   /// Entry hosts that share the backend servers, at least 1.
