--- a/picture/source_health.h
+++ b/picture/source_health.h
@@ -38,6 +38,10 @@
       FailingSince = Now;
     distrust();
   }
+  /// The host that this one follows last saw a failure at \p At.
+  void failedElsewhere(MonotonicTime At) {
+    LastFailed = std::max(LastFailed.value_or(At), At);
+  }
   /// The next watches may stay silent.
   void distrust() { Wait = FirstWait; }
 
--- /dev/null
+++ b/runtime/fresh_loop_test_util.h
@@ -0,0 +1,35 @@
+// Runs a test's body in an event loop of its own.
+
+#ifndef MIMOSA_RUNTIME_FRESH_LOOP_TEST_UTIL_H
+#define MIMOSA_RUNTIME_FRESH_LOOP_TEST_UTIL_H
+
+#include "runtime/fiber_loop.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace mimosa {
+
+/// Runs \p Body in a child process, since a thread can have only one fiber
+/// scheduler in its life. The body's failed expectations fail the child.
+inline void inFreshLoop(const std::function<void(FiberLoop &)> &Body) {
+  constexpr unsigned LimitSeconds = 60;
+  pid_t Child = fork();
+  ASSERT_GE(Child, 0);
+  if (Child == 0) {
+    alarm(LimitSeconds);
+    FiberLoop Loop;
+    Loop.run([&] { Body(Loop); });
+    _exit(testing::Test::HasFailure() ? 1 : 0);
+  }
+  int Status = 0;
+  ASSERT_EQ(waitpid(Child, &Status, 0), Child);
+  EXPECT_TRUE(WIFEXITED(Status) && WEXITSTATUS(Status) == 0) << Status;
+}
+
+} // namespace mimosa
+
+#endif // MIMOSA_RUNTIME_FRESH_LOOP_TEST_UTIL_H
--- a/runtime/runtime_test.cpp
+++ b/runtime/runtime_test.cpp
@@ -1,5 +1,6 @@
 #include "base/message_codec.h"
 #include "runtime/fiber_loop.h"
+#include "runtime/fresh_loop_test_util.h"
 #include "runtime/http.h"
 #include "runtime/metrics.h"
 #include "runtime/peer.h"
@@ -8,31 +9,12 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include <sys/wait.h>
-#include <unistd.h>
-
 namespace mimosa {
 namespace {
 
 constexpr const char *HttpAddress = "127.0.0.1:18471";
 constexpr const char *PeerAddress = "127.0.0.1:18472";
 
-/// Runs \p Body in a child process, since a thread can have only one fiber
-/// scheduler in its life. The body's failed expectations fail the child.
-void inFreshLoop(const std::function<void(FiberLoop &)> &Body) {
-  pid_t Child = fork();
-  ASSERT_GE(Child, 0);
-  if (Child == 0) {
-    alarm(60);
-    FiberLoop Loop;
-    Loop.run([&] { Body(Loop); });
-    _exit(testing::Test::HasFailure() ? 1 : 0);
-  }
-  int Status = 0;
-  ASSERT_EQ(waitpid(Child, &Status, 0), Child);
-  EXPECT_TRUE(WIFEXITED(Status) && WEXITSTATUS(Status) == 0) << Status;
-}
-
 // Guards against a lost wake-up: a fiber that waits although its event was set.
 TEST(FiberLoop, EveryWakeUpArrives) {
   inFreshLoop([](FiberLoop &Loop) {
--- a/tools/entry_test.py
+++ b/tools/entry_test.py
@@ -7,14 +7,14 @@
 import os
 import signal
 import socket
-import subprocess
 import threading
 import time
 import unittest
 from typing import Any
 
+from entry_process import GRACE_S, Entry
 from platform_stand_in import LOCALHOST, RECORD_BYTES, Searcher, Store
-from small_system import SmallSystem, free_ports
+from small_system import free_ports
 
 #: A change of the configuration must be in force, and a draining searcher get
 #: nothing more, within this time.
@@ -22,9 +22,6 @@
 DRAIN_S = 3.0
 #: The store counts as stable so long after its last fault.
 STABLE_S = 4.0
-#: A process is killed so long after its termination signal.
-GRACE_S = 6.0
-READY_TIMEOUT_S = 5.0
 SHARDS = 10
 TOP = 5
 
@@ -33,46 +30,6 @@
     return f"{number:06d}-{shard:09d}".encode()
 
 
-class Entry:
-    """One entry host: a real process."""
-
-    def __init__(self, name: str, store: str, ports: list[int], seeds: str = "",
-                 stdout: Any = subprocess.DEVNULL) -> None:
-        self.callers, self.ready, self.directory, self.peer, self.metrics = (
-            f"{LOCALHOST}:{port}" for port in ports[:5])
-        self.process = subprocess.Popen(
-            [SmallSystem.program("mimosa-entry"), "--host-name", name, "--zone", "z1",
-             "--caller-address", self.callers, "--ready-address", self.ready,
-             "--directory-address", self.directory, "--peer-address", self.peer,
-             "--metrics-address", self.metrics, "--store-address", store,
-             "--seeds", seeds], stdout=stdout)
-
-    def get(self, address: str, path: str) -> tuple[int, bytes]:
-        connection = http.client.HTTPConnection(address, timeout=5)
-        try:
-            connection.request("GET", path)
-            answer = connection.getresponse()
-            return answer.status, answer.read()
-        finally:
-            connection.close()
-
-    def wait_ready(self) -> None:
-        end = time.monotonic() + READY_TIMEOUT_S
-        while time.monotonic() < end:
-            try:
-                if self.get(self.ready, "/ready")[0] == 200:
-                    return
-            except OSError:
-                pass
-            time.sleep(0.02)
-        raise RuntimeError("the entry host did not become ready")
-
-    def stop(self) -> None:
-        if self.process.poll() is None:
-            self.process.kill()
-        self.process.wait(GRACE_S)
-
-
 class EntryTest(unittest.TestCase):
     def setUp(self) -> None:
         self.store = Store()
