--- a/tools/small_system.py
+++ b/tools/small_system.py
@@ -59,8 +59,8 @@
     return True
 
 
-def free_ports() -> list[int]:
-    """Consecutive free ports.
+def free_ports(count: int = BLOCK_PORTS) -> list[int]:
+    """Consecutive free ports, ``count`` or a few more.
 
     The search starts at a block given by the process id, so that two runs that
     start at once do not choose the same ports.
@@ -68,7 +68,7 @@
     for step in range(BLOCKS):
         block = (os.getpid() + step) % BLOCKS
         first = FIRST_PORT + block * BLOCK_PORTS
-        ports = list(range(first, first + BLOCK_PORTS))
+        ports = list(range(first, first + -(-count // BLOCK_PORTS) * BLOCK_PORTS))
         if all(_is_free(port) for port in ports):
             return ports
     raise RuntimeError("no free block of ports on " + LOCALHOST)
