mimosactl explains requests and checks settings; flags name the file

Cause: on-call engineers had to join the logs of several hosts by hand, and a misspelt name in a settings file is passed over. Change: "explain REQUEST-ID [LOG...]" joins a request's lines with what its host learned just before, and states the cause in words for each outcome and reason. "check SETTINGS" reports every unknown name and bad value of a file or template. Settings read flags before and after the file.

--- a/entry/entry_options.cpp
+++ b/entry/entry_options.cpp
@@ -7,8 +7,16 @@
 
 namespace mimosa {
 
-EntryOptions parseEntryOptions(int Argc, const char *const *Argv,
-                               std::optional<int> *Exit) {
+namespace {
+
+/// The settings as they are written, and the options made of them.
+class EntrySettings {
+public:
+  EntrySettings();
+  Settings &parser() { return Parser; }
+  EntryOptions options() const;
+
+private:
   EntryOptions Out;
   std::string Zone;
   std::string Peer;
@@ -17,9 +25,12 @@
   int64_t LongestLifetimeS = 5;
   double StopLimitS = inSeconds(Out.StopLimit);
   int64_t WindowMs = inMilliseconds(Out.RetryBudget.Window);
-  auto Descriptors = static_cast<int64_t>(Out.MaxDescriptors);
-  Settings Parser("mimosa-entry", "entry daemon of mimosawall for searches "
-                                  "whose configuration the platform holds");
+  int64_t Descriptors = static_cast<int64_t>(Out.MaxDescriptors);
+  Settings Parser{"mimosa-entry", "entry daemon of mimosawall for searches "
+                                  "whose configuration the platform holds"};
+};
+
+EntrySettings::EntrySettings() {
   Parser.fileSetting(&Out.SettingsFile);
   Parser.text("host-name", "name of this host", &Out.HostName, true);
   Parser.text("zone", "availability zone of this host", &Zone, true);
@@ -61,18 +72,34 @@
                  &Out.CoreShare, 0.001, 1024);
   Parser.decimal("core-speed", "speed of that core, 1 for the usual one",
                  &Out.CoreSpeed, 0.001, 1000);
-  *Exit = Parser.parse(Argc, Argv);
-  Out.Zone = AvailabilityZoneId(Zone);
-  Out.PeerAddress = HostId(Peer);
+}
+
+EntryOptions EntrySettings::options() const {
+  EntryOptions Made = Out;
+  Made.Zone = AvailabilityZoneId(Zone);
+  Made.PeerAddress = HostId(Peer);
   std::istringstream SeedList(Seeds);
   for (std::string One; std::getline(SeedList, One, ',');)
     if (!One.empty())
-      Out.Seeds.emplace_back(One);
-  Out.RetryBudget.Window = Milliseconds(WindowMs);
-  Out.AddressLifetime = Seconds(std::min(AddressLifetimeS, LongestLifetimeS));
-  Out.StopLimit = Duration(static_cast<int64_t>(StopLimitS * 1e6));
-  Out.MaxDescriptors = static_cast<size_t>(Descriptors);
-  return Out;
+      Made.Seeds.emplace_back(One);
+  Made.RetryBudget.Window = Milliseconds(WindowMs);
+  Made.AddressLifetime = Seconds(std::min(AddressLifetimeS, LongestLifetimeS));
+  Made.StopLimit = Duration(static_cast<int64_t>(StopLimitS * 1e6));
+  Made.MaxDescriptors = static_cast<size_t>(Descriptors);
+  return Made;
+}
+
+} // namespace
+
+EntryOptions parseEntryOptions(int Argc, const char *const *Argv,
+                               std::optional<int> *Exit) {
+  EntrySettings All;
+  *Exit = All.parser().parse(Argc, Argv);
+  return All.options();
+}
+
+std::vector<std::string> entrySettingsProblems(const std::string &Path) {
+  return EntrySettings().parser().problemsOf(Path);
 }
 
 } // namespace mimosa
--- a/entry/entry_options.h
+++ b/entry/entry_options.h
@@ -45,6 +45,9 @@
 EntryOptions parseEntryOptions(int Argc, const char *const *Argv,
                                std::optional<int> *Exit);
 
+/// What is wrong with a settings file, or with the template of one.
+std::vector<std::string> entrySettingsProblems(const std::string &Path);
+
 } // namespace mimosa
 
 #endif // MIMOSA_ENTRY_ENTRY_OPTIONS_H
--- a/runtime/runtime_test.cpp
+++ b/runtime/runtime_test.cpp
@@ -6,8 +6,10 @@
 #include "runtime/peer.h"
 #include "runtime/settings.h"
 
+#include <fstream>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <unistd.h>
 
 namespace mimosa {
 namespace {
@@ -234,6 +236,49 @@
   }
 }
 
+/// Writes \p Text to a file of this process and returns its path.
+std::string fileWith(const std::string &Text) {
+  std::string Path =
+      testing::TempDir() + "settings-" + std::to_string(getpid()) + ".conf";
+  std::ofstream(Path) << Text;
+  return Path;
+}
+
+// Guards against a file that is not read because a flag names it, and against
+// one that wins over a flag.
+TEST(Settings, AFlagNamesTheFile) {
+  unsetenv("MIMOSA_TEST_SIZE");
+  unsetenv("MIMOSA_OTHER_SIZE");
+  int64_t Size = 5;
+  int64_t Other = 5;
+  std::string Path;
+  Settings Parser("p", "test");
+  Parser.fileSetting(&Path);
+  Parser.number("test-size", "size", &Size, 1, 10);
+  Parser.number("other-size", "size", &Other, 1, 10);
+  std::string File =
+      "--settings-file=" + fileWith("test-size=7\nother-size=8\n");
+  const char *Arguments[] = {"p", File.c_str(), "--other-size=9"};
+  EXPECT_EQ(Parser.parse(3, Arguments), std::nullopt);
+  EXPECT_EQ(Size, 7);
+  EXPECT_EQ(Other, 9);
+}
+
+// Guards against a file with a misspelt name or a bad value that is not told,
+// and against a template whose placeholders count as bad values.
+TEST(Settings, ProblemsOfAFileAreAllTold) {
+  int64_t Size = 5;
+  Settings Parser("p", "test");
+  Parser.number("test-size", "size", &Size, 1, 10);
+  EXPECT_TRUE(Parser.problemsOf(fileWith("test-size={{x.y}}\n\n")).empty());
+  std::vector<std::string> Problems =
+      Parser.problemsOf(fileWith("test-sise=4\ntest-size=11\nnonsense\n"));
+  ASSERT_EQ(Problems.size(), 3u);
+  EXPECT_NE(Problems[0].find(":1: 'test-sise=4'"), std::string::npos);
+  EXPECT_NE(Problems[1].find("from 1 to 10"), std::string::npos);
+  EXPECT_NE(Problems[2].find(":3: 'nonsense'"), std::string::npos);
+}
+
 // Guards against quantiles that miss the recorded values.
 TEST(LatencyHistogram, QuantileIsWithinOneBucket) {
   LatencyHistogram Histogram;
--- a/runtime/settings.cpp
+++ b/runtime/settings.cpp
@@ -185,6 +185,13 @@
   return Problem;
 }
 
+Settings::Setting *Settings::find(const std::string &Name) {
+  for (auto &S : All)
+    if (S->Name == Name)
+      return S.get();
+  return nullptr;
+}
+
 std::string Settings::readFile(const std::string &Path) {
   std::ifstream In(Path);
   if (!In)
@@ -194,18 +201,43 @@
     size_t Equals = Line.find('=');
     if (Equals == std::string::npos || Equals + 1 == Line.size())
       continue;
-    for (auto &S : All) {
-      if (S->Name != Line.substr(0, Equals))
-        continue;
-      std::string Problem =
-          assign(*S, Line.substr(Equals + 1), Path + ": " + S->Name);
-      if (!Problem.empty())
-        return Problem;
-    }
+    Setting *S = find(Line.substr(0, Equals));
+    if (!S)
+      continue;
+    std::string Problem =
+        assign(*S, Line.substr(Equals + 1), Path + ": " + S->Name);
+    if (!Problem.empty())
+      return Problem;
   }
   return "";
 }
 
+std::vector<std::string> Settings::problemsOf(const std::string &Path) {
+  std::ifstream In(Path);
+  if (!In)
+    return {"settings file " + Path + " cannot be read"};
+  std::vector<std::string> Out;
+  std::string Line;
+  for (int Number = 1; std::getline(In, Line); ++Number) {
+    std::string Where = Path + ":" + std::to_string(Number) + ": ";
+    size_t Equals = Line.find('=');
+    if (Line.empty())
+      continue;
+    Setting *S = find(Line.substr(0, Equals));
+    if (Equals == std::string::npos || !S) {
+      Out.push_back(Where + "'" + Line + "' names no setting");
+      continue;
+    }
+    std::string Value = Line.substr(Equals + 1);
+    if (Value.empty() || Value.find("{{") != std::string::npos)
+      continue;
+    std::string Problem = assign(*S, Value, Where + S->Name);
+    if (!Problem.empty())
+      Out.push_back(Problem);
+  }
+  return Out;
+}
+
 std::string Settings::checkRequired() const {
   for (const auto &S : All)
     if (S->Required && S->TextValue->empty())
@@ -217,13 +249,17 @@
 std::optional<int> Settings::parse(int Argc, const char *const *Argv) {
   bool ShowVersion = false;
   std::string Problem = readVariables();
+  if (Problem.empty())
+    Problem = readFlags(Argc, Argv, &ShowVersion);
   if (Problem.empty() && FilePath && !FilePath->empty()) {
+    // Variables and flags named the file, and win over it.
     Problem = readFile(*FilePath);
     if (Problem.empty())
       Problem = readVariables();
+    Rest.clear();
+    if (Problem.empty())
+      Problem = readFlags(Argc, Argv, &ShowVersion);
   }
-  if (Problem.empty())
-    Problem = readFlags(Argc, Argv, &ShowVersion);
   if (Problem.empty() && ShowVersion) {
     std::printf("%s %s\n", Program.c_str(), Version);
     return 0;
--- a/runtime/settings.h
+++ b/runtime/settings.h
@@ -45,8 +45,13 @@
   /// Reads "name=value" lines again, for a reload. Lines without a value and
   /// unknown names are skipped. The problem, or nothing.
   std::string readFile(const std::string &Path);
+  /// All problems of a file or of a template of one: names that do not exist,
+  /// and values out of range. The value of a line that contains "{{" is filled
+  /// in later; only its name is checked.
+  std::vector<std::string> problemsOf(const std::string &Path);
 
-  /// Reads the file, then variables, then flags. Returns an exit status if the
+  /// Reads the file that a flag or variable names, then variables, then flags.
+  /// Returns an exit status if the
   /// program should end: 0 after --help or --version, 2 after an error, which
   /// is printed.
   std::optional<int> parse(int Argc, const char *const *Argv);
@@ -56,7 +61,7 @@
 
 private:
   struct Setting;
-  struct Parsed;
+  Setting *find(const std::string &Name);
   std::string assign(Setting &S, const std::string &Value,
                      const std::string &Label);
   std::string readVariables();
--- a/tools/ctl_commands.cpp
+++ b/tools/ctl_commands.cpp
@@ -109,6 +109,12 @@
   undrain BACKEND     send work to it again
   hosts               print the hosts that the daemon knows
   status              print the state of the daemon and its backend servers
+  explain REQUEST-ID [LOG...]
+                      print what logs of mimosa-entry say about a request, and
+                      the cause of its outcome; without LOG, standard input
+  check SETTINGS      check a settings file of mimosa-entry or its template
+
+explain and check need no --daemon.
 
 apply refuses a FILE that was made from another revision than the one in force
 and prints what the other operator changed. The revision is that of
--- /dev/null
+++ b/tools/ctl_local.h
@@ -0,0 +1,19 @@
+// Commands of mimosactl that work on files and need no daemon.
+
+#ifndef MIMOSA_TOOLS_CTL_LOCAL_H
+#define MIMOSA_TOOLS_CTL_LOCAL_H
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace mimosa {
+
+/// Runs "explain REQUEST-ID [LOG...]" or "check SETTINGS"; nothing if \p Words
+/// is another command. The result is an exit status: 0 done; 1 the request is
+/// in no log, or the settings have problems; 2 wrong usage.
+std::optional<int> runLocalCommand(const std::vector<std::string> &Words);
+
+} // namespace mimosa
+
+#endif // MIMOSA_TOOLS_CTL_LOCAL_H
--- a/tools/ctl_main.cpp
+++ b/tools/ctl_main.cpp
@@ -2,18 +2,23 @@
 
 #include "runtime/settings.h"
 #include "tools/ctl_commands.h"
+#include "tools/ctl_local.h"
 
 #include <cstdio>
 #include <cstdlib>
 #include <sstream>
 
+namespace {
+constexpr int UsageStatus = 2;
+} // namespace
+
 int main(int Argc, char **Argv) {
   mimosa::CtlOptions Options;
   std::string Daemons;
   int64_t TimeoutMs = mimosa::inMilliseconds(Options.Timeout);
   mimosa::Settings Parser("mimosactl", mimosa::CtlHelp, "COMMAND [ARGUMENT]");
   Parser.text("daemon", "caller addresses of daemons, comma-separated",
-              &Daemons, true);
+              &Daemons);
   Parser.number("timeout-ms", "longest time of the command", &TimeoutMs, 1,
                 3600000);
   Parser.number("expected-revision",
@@ -23,6 +28,13 @@
               &Options.Base);
   if (auto Exit = Parser.parse(Argc, Argv))
     return *Exit;
+  if (auto Local = mimosa::runLocalCommand(Parser.arguments()))
+    return *Local;
+  if (Daemons.empty()) {
+    std::fprintf(stderr, "mimosactl: flag --daemon (or variable MIMOSA_DAEMON) "
+                         "is required by this command\n");
+    return UsageStatus;
+  }
   Options.Timeout = mimosa::Milliseconds(TimeoutMs);
   std::istringstream In(Daemons);
   std::string One;
--- a/tools/module.cmake
+++ b/tools/module.cmake
@@ -3,7 +3,7 @@
   target_link_libraries(${NAME} PRIVATE mimosa_tools mimosa_runtime)
 endfunction()
 
-mimosa_module(tools mimosa_runtime mimosa_config mimosa_platform)
+mimosa_module(tools mimosa_runtime mimosa_config mimosa_platform mimosa_entry)
 mimosa_program(mimosa-kv kv_main.cpp)
 mimosa_program(mimosa-backend backend_main.cpp)
 mimosa_program(mimosaload load_main.cpp)
--- /dev/null
+++ b/tools/request_timeline.cpp
@@ -0,0 +1,256 @@
+#include "tools/request_timeline.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <ctime>
+
+namespace mimosa {
+
+namespace {
+
+/// What a host learned so long before a request may have decided its outcome;
+/// set-aside times, leases and outages of the store are shorter.
+constexpr int64_t RelatedBeforeMs = 15000;
+constexpr int64_t RelatedAfterMs = 1000;
+/// "YYYY-MM-DD hh:mm:ss.mmm"
+constexpr size_t TimeLength = 23;
+
+/// Events that concern every request of a host.
+const std::set<std::string> HostEvents = {
+    "started",        "stopping",   "stopped",        "reloaded",
+    "config_applied", "store_lost", "store_regained", "leader_lost",
+    "listed",         "adopted",    "history_lost",   "zones_out",
+    "config_rejected"};
+
+struct Explanation {
+  const char *Key;
+  const char *Words;
+};
+
+constexpr Explanation RefusedBecause[] = {
+    {"unconfigured", "the host had just started and had no configuration yet"},
+    {"stopping", "the host was in a planned stop"},
+    {"shards_unavailable", "so many shards were down that the least coverage "
+                           "could not be reached"},
+    {"unavailable", "no backend server of the service could be reached"},
+    {"overloaded", "the queue was too long for an answer in time"},
+    {"shed", "the backend servers declined it"},
+    {"crashes_backend_servers",
+     "earlier tries of the same request lost their backend servers"},
+    {"no_target", "all weights of the route are 0"},
+};
+
+constexpr Explanation OtherOutcomes[] = {
+    {"answered", "it was answered whole"},
+    {"partial", "it was answered without some shards"},
+    {"lost", "a backend server took it and its connection ended without an "
+             "answer, so it may have run"},
+    {"timeout", "the backend servers were silent until its deadline, so it "
+                "may have run"},
+    {"backend_failure", "a backend server ran it and answered with a failure"},
+    {"caller_left", "its caller closed the connection"},
+    {"no_route", "no route of that version fits its host name and path"},
+    {"bad_request", "it is no valid request"},
+};
+
+template <size_t Size>
+std::string wordsFor(const Explanation (&Table)[Size], const std::string &Key) {
+  for (const Explanation &E : Table)
+    if (Key == E.Key)
+      return E.Words;
+  return Key.empty() ? "the line gives no reason" : "unknown: " + Key;
+}
+
+std::vector<std::string> split(const std::string &Text, char Separator) {
+  std::vector<std::string> Out;
+  size_t Begin = 0;
+  while (Begin < Text.size()) {
+    size_t End = std::min(Text.find(Separator, Begin), Text.size());
+    Out.push_back(Text.substr(Begin, End - Begin));
+    Begin = End + 1;
+  }
+  return Out;
+}
+
+bool isDigit(char C) { return C >= '0' && C <= '9'; }
+
+/// Where the date of a line begins.
+size_t findDate(std::string_view Line) {
+  for (size_t At = 0; At + TimeLength < Line.size(); ++At) {
+    std::string_view Rest = Line.substr(At);
+    bool Shape = Rest[4] == '-' && Rest[7] == '-' && Rest[10] == ' ' &&
+                 Rest[13] == ':' && Rest[16] == ':' && Rest[19] == '.';
+    if (Shape && isDigit(Rest[0]) && isDigit(Rest[22]))
+      return At;
+  }
+  return std::string_view::npos;
+}
+
+std::optional<int64_t> parseTime(const std::string &Text) {
+  std::tm Time{};
+  int Millis = 0;
+  if (std::sscanf(Text.c_str(), "%4d-%2d-%2d %2d:%2d:%2d.%3d", &Time.tm_year,
+                  &Time.tm_mon, &Time.tm_mday, &Time.tm_hour, &Time.tm_min,
+                  &Time.tm_sec, &Millis) != 7)
+    return std::nullopt;
+  Time.tm_year -= 1900;
+  Time.tm_mon -= 1;
+  return static_cast<int64_t>(timegm(&Time)) * 1000 + Millis;
+}
+
+std::map<std::string, std::string> parseFields(std::string_view Text) {
+  std::map<std::string, std::string> Out;
+  size_t At = 0;
+  while (At < Text.size()) {
+    size_t Equals = Text.find('=', At);
+    if (Equals == std::string_view::npos)
+      break;
+    size_t KeyBegin = Text.rfind(' ', Equals);
+    KeyBegin =
+        KeyBegin == std::string_view::npos || KeyBegin < At ? At : KeyBegin + 1;
+    size_t Begin = Equals + 1;
+    bool Quoted = Begin < Text.size() && Text[Begin] == '"';
+    Begin += Quoted ? 1 : 0;
+    size_t End = std::min(Text.find(Quoted ? '"' : ' ', Begin), Text.size());
+    Out.emplace(Text.substr(KeyBegin, Equals - KeyBegin),
+                Text.substr(Begin, End - Begin));
+    At = std::min(Text.size(), End + 1);
+  }
+  return Out;
+}
+
+/// "SHARD[:waiting][:SERVER]...[:no_hedge_server][:no_retry_budget]"
+std::string shardCause(const std::string &Text) {
+  std::vector<std::string> Words = split(Text, ':');
+  std::string Servers;
+  std::string Notes;
+  for (size_t I = 1; I < Words.size(); ++I) {
+    if (Words[I] == "waiting")
+      Notes += "; it waited because all its backend servers had as many "
+               "requests as they may";
+    else if (Words[I] == "no_hedge_server")
+      Notes += "; no other backend server was expected to answer in time";
+    else if (Words[I] == "no_retry_budget")
+      Notes += "; the joint bound on extra sends was used up";
+    else
+      Servers += (Servers.empty() ? "" : " and ") + Words[I];
+  }
+  std::string Sent =
+      Servers.empty() ? "not sent" : "sent to " + Servers + ", no answer yet";
+  return "shard " + Words.front() + ": " + Sent + Notes;
+}
+
+/// Backend servers and services that a request's line names.
+std::set<std::string> namesIn(const LogLine &Line) {
+  std::set<std::string> Out;
+  for (const char *Key : {"server", "service"})
+    if (!Line.field(Key).empty())
+      Out.insert(Line.field(Key));
+  for (const std::string &Shard : split(Line.field("unfinished"), ','))
+    for (const std::string &Word : split(Shard, ':'))
+      Out.insert(Word);
+  return Out;
+}
+
+} // namespace
+
+std::string LogLine::field(const std::string &Key) const {
+  auto Found = Fields.find(Key);
+  return Found == Fields.end() ? "" : Found->second;
+}
+
+std::optional<LogLine> parseLogLine(std::string_view Line) {
+  size_t Date = findDate(Line);
+  if (Date == std::string_view::npos)
+    return std::nullopt;
+  LogLine Out;
+  Out.Text = std::string(Line.substr(Date));
+  auto At = parseTime(Out.Text);
+  size_t Colon = Out.Text.find(": ", TimeLength);
+  if (!At || Colon == std::string::npos)
+    return std::nullopt;
+  Out.AtMs = *At;
+  size_t Part = Out.Text.rfind(' ', Colon) + 1;
+  Out.Part = Out.Text.substr(Part, Colon - Part);
+  Out.Fields = parseFields(std::string_view(Out.Text).substr(Colon + 2));
+  std::vector<std::string> Before =
+      split(std::string(Line.substr(0, Date)), ' ');
+  if (!Before.empty())
+    Out.Host = Before.back();
+  return Out;
+}
+
+std::vector<std::string> causesOf(const LogLine &Line) {
+  std::string Outcome = Line.field("outcome");
+  std::string Reason = Line.field("reason");
+  if (Outcome == "refused")
+    return {"it was refused and has not run: " +
+            wordsFor(RefusedBecause, Reason)};
+  std::vector<std::string> Out = {wordsFor(OtherOutcomes, Outcome)};
+  if (!Line.field("elapsed_us").empty())
+    Out.front() += ", after " + Line.field("elapsed_us") + " us";
+  if (!Reason.empty() && Reason != "none" && Outcome != "bad_request")
+    Out.push_back("the last try that failed: " +
+                  (Reason == "deadline" || Reason == "lost"
+                       ? Reason
+                       : wordsFor(RefusedBecause, Reason)));
+  for (const std::string &Shard : split(Line.field("unfinished"), ','))
+    Out.push_back(shardCause(Shard));
+  return Out;
+}
+
+void RequestTimeline::read(std::istream &In, const std::string &Host) {
+  std::string Started;
+  std::string Text;
+  while (std::getline(In, Text)) {
+    std::optional<LogLine> Line = parseLogLine(Text);
+    if (!Line)
+      continue;
+    if (Line->field("event") == "started")
+      Started = Line->field("host");
+    if (Line->Host.empty())
+      Line->Host = Started.empty() ? Host : Started;
+    if (Line->field("request") == Id)
+      Own.push_back(std::move(*Line));
+    else if (!Line->field("event").empty() && Line->field("request").empty())
+      Beliefs.push_back(std::move(*Line));
+  }
+}
+
+bool RequestTimeline::related(const LogLine &Line,
+                              const std::set<std::string> &Named) const {
+  bool Near = std::any_of(Own.begin(), Own.end(), [&](const LogLine &L) {
+    return L.Host == Line.Host && Line.AtMs >= L.AtMs - RelatedBeforeMs &&
+           Line.AtMs <= L.AtMs + RelatedAfterMs;
+  });
+  return Near && (HostEvents.count(Line.field("event")) != 0 ||
+                  Named.count(Line.field("server")) != 0 ||
+                  Named.count(Line.field("service")) != 0);
+}
+
+std::vector<std::string> RequestTimeline::report() const {
+  std::set<std::string> Named;
+  for (const LogLine &L : Own)
+    Named.merge(namesIn(L));
+  std::vector<const LogLine *> Chosen;
+  for (const LogLine &L : Own)
+    Chosen.push_back(&L);
+  for (const LogLine &L : Beliefs)
+    if (related(L, Named))
+      Chosen.push_back(&L);
+  std::stable_sort(
+      Chosen.begin(), Chosen.end(),
+      [](const LogLine *A, const LogLine *B) { return A->AtMs < B->AtMs; });
+  std::vector<std::string> Out;
+  for (const LogLine *L : Chosen)
+    Out.push_back((L->Host.empty() ? "" : L->Host + " ") + L->Text);
+  for (const LogLine &L : Own) {
+    if (L.field("outcome").empty())
+      continue;
+    for (const std::string &Cause : causesOf(L))
+      Out.push_back("cause: " + Cause);
+  }
+  return Out;
+}
+
+} // namespace mimosa
