--- a/tools/fuzz_test.py
+++ b/tools/fuzz_test.py
@@ -15,7 +15,7 @@
 import unittest
 
 from entry_process import Entry
-from platform_stand_in import LOCALHOST, Searcher, Store, _Handler
+from platform_stand_in import Handler, Searcher, Store
 from small_system import free_ports
 
 ROUNDS = int(os.environ.get("FUZZ_ROUNDS", "150"))
@@ -64,7 +64,7 @@
         self.damages = False
         super().__init__("one", "i-hostile")
 
-    def handle(self, call: _Handler) -> None:
+    def handle(self, call: Handler) -> None:
         body = call.body()
         request_id = call.headers.get("Attempt-Id", "")
         content = b"echo:" + body
@@ -83,7 +83,7 @@
         self.damages = False
         super().__init__()
 
-    def handle(self, call: _Handler) -> None:
+    def handle(self, call: Handler) -> None:
         if self.damages:
             usual = call.answer
 
--- a/tools/platform_stand_in.py
+++ b/tools/platform_stand_in.py
@@ -33,7 +33,7 @@
         """Connections end in many ways here; none is worth a trace."""
 
 
-class _Handler(http.server.BaseHTTPRequestHandler):
+class Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     owner: Any = None
 
@@ -60,7 +60,7 @@
 
 class _StandIn:
     def __init__(self) -> None:
-        handler = type("Handler", (_Handler,), {"owner": self})
+        handler = type("Handler", (Handler,), {"owner": self})
         self._server = _Server((LOCALHOST, 0), handler)
         self.address = f"{LOCALHOST}:{self._server.server_address[1]}"
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
@@ -136,7 +136,7 @@
         for key in [k for k, item in self.items.items() if item["lease"] == lease]:
             self._remove(key)
 
-    def handle(self, call: _Handler) -> None:
+    def handle(self, call: Handler) -> None:
         body = call.body()
         path, _, query = call.path.partition("?")
         name = path.split("/")[1]
@@ -234,7 +234,7 @@
     def stamp(self, request_id: str) -> str:
         return f"{self.name}.{request_id}"
 
-    def handle(self, call: _Handler) -> None:
+    def handle(self, call: Handler) -> None:
         body = call.body()
         request_id = call.headers.get("Attempt-Id", "")
         self.last_arrival = time.monotonic()
