--- a/tools/soak.py
+++ b/tools/soak.py
@@ -177,6 +177,8 @@
         #: Planned work that goes on; waiting for it must not delay the end of
         #: faults, such as the pause of a host that is to stop.
         self.pending: list[threading.Thread] = []
+        #: What went wrong in such work.
+        self.errors: list[Exception] = []
         self.kinds: dict[str, Callable[[], Undo]] = {
             "store_down": lambda: self._store("down"),
             "store_loses_answers": lambda: self._store("lose_answers"),
@@ -365,7 +367,12 @@
         span.end = time.monotonic()
 
     def _in_background(self, work: Undo) -> Undo:
-        thread = threading.Thread(target=work, daemon=True)
+        def run() -> None:
+            try:
+                work()
+            except Exception as error:  # Told when the run ends.
+                self.errors.append(error)
+        thread = threading.Thread(target=run, daemon=True)
         thread.start()
         self.pending.append(thread)
         return lambda: None
@@ -489,6 +496,8 @@
             count = disturb(faults, rng, kinds, time.monotonic() + settings.seconds, log)
             for thread in faults.pending:
                 thread.join()
+            if faults.errors:
+                raise faults.errors[0]
             system.history.recovered = time.monotonic()
             log("recovered")
             time.sleep(CALM_END_S)
