Make lint pass

Change: the container is sized before the loop; the text is appended. Measured: scripts/lint passes on all files; tests of tools, runtime and balance pass.

--- a/runtime/settings.cpp
+++ b/runtime/settings.cpp
@@ -219,19 +219,20 @@
   std::vector<std::string> Out;
   std::string Line;
   for (int Number = 1; std::getline(In, Line); ++Number) {
-    std::string Where = Path + ":" + std::to_string(Number) + ": ";
+    std::string Place = Path + ":" + std::to_string(Number) + ": ";
     size_t Equals = Line.find('=');
     if (Line.empty())
       continue;
     Setting *S = find(Line.substr(0, Equals));
     if (Equals == std::string::npos || !S) {
-      Out.push_back(Where + "'" + Line + "' names no setting");
+      Out.push_back(
+          Place.append("'").append(Line).append("' names no setting"));
       continue;
     }
     std::string Value = Line.substr(Equals + 1);
     if (Value.empty() || Value.find("{{") != std::string::npos)
       continue;
-    std::string Problem = assign(*S, Value, Where + S->Name);
+    std::string Problem = assign(*S, Value, Place + S->Name);
     if (!Problem.empty())
       Out.push_back(Problem);
   }
--- a/tools/request_timeline.cpp
+++ b/tools/request_timeline.cpp
@@ -242,6 +242,7 @@
       Chosen.begin(), Chosen.end(),
       [](const LogLine *A, const LogLine *B) { return A->AtMs < B->AtMs; });
   std::vector<std::string> Out;
+  Out.reserve(Chosen.size());
   for (const LogLine *L : Chosen)
     Out.push_back((L->Host.empty() ? "" : L->Host + " ") + L->Text);
   for (const LogLine &L : Own) {
