--- /dev/null
+++ b/balance/call.cpp
@@ -0,0 +1,23 @@
+#include "balance/call.h"
+
+namespace mimosa {
+
+const char *callReasonName(CallReason Reason) {
+  switch (Reason) {
+  case CallReason::None:
+    return "none";
+  case CallReason::Unavailable:
+    return "unavailable";
+  case CallReason::Overloaded:
+    return "overloaded";
+  case CallReason::Deadline:
+    return "deadline";
+  case CallReason::Lost:
+    return "lost";
+  case CallReason::Shed:
+    return "shed";
+  }
+  return "unknown";
+}
+
+} // namespace mimosa
--- a/balance/call_scheduler.cpp
+++ b/balance/call_scheduler.cpp
@@ -40,24 +40,6 @@
 
 } // namespace
 
-const char *callReasonName(CallReason Reason) {
-  switch (Reason) {
-  case CallReason::None:
-    return "none";
-  case CallReason::Unavailable:
-    return "unavailable";
-  case CallReason::Overloaded:
-    return "overloaded";
-  case CallReason::Deadline:
-    return "deadline";
-  case CallReason::Lost:
-    return "lost";
-  case CallReason::Shed:
-    return "shed";
-  }
-  return "unknown";
-}
-
 CallScheduler::ServiceQueue &CallScheduler::queue(const ServiceId &Service) {
   ServiceQueue &Q = Queues[Service];
   Q.Budget.setOptions(BudgetOptions);
@@ -103,14 +85,19 @@
   return Id;
 }
 
+BackendServerPtr CallScheduler::choose(const Call &Of, MonotonicTime Now) {
+  ServerWanted Wanted;
+  Wanted.Typical = typicalLatency(Of.Request.Route, Of.Request.Target);
+  Wanted.Tried = &Of.Tried;
+  return Registry.choose(Of.Request.Service, Wanted, Now);
+}
+
 void CallScheduler::sendFirst(CallMap::iterator It, MonotonicTime Now) {
   const CallRequest &R = It->second.Request;
-  ServerWanted Wanted;
-  Wanted.Typical = typicalLatency(R.Route, R.Target);
   bool Overtakes = queue(R.Service).Waiting.empty() ||
                    R.Priority < queue(R.Service).Waiting.begin()->first.first;
   if (Overtakes)
-    if (BackendServerPtr Server = Registry.choose(R.Service, Wanted, Now))
+    if (BackendServerPtr Server = choose(It->second, Now))
       return sendTo(It, Server, false, Now);
   if (Registry.state(R.Service, Now) == ServiceState::Unavailable) {
     ++Counters.Unavailable;
@@ -121,19 +108,18 @@
 
 bool CallScheduler::hopeless(const Call &Of, MonotonicTime Now) {
   const CallRequest &R = Of.Request;
+  // Only calls that are served before this one count.
+  size_t Ahead = 0;
+  for (const auto &[Key, Id] : queue(R.Service).Waiting)
+    Ahead += Key.first <= R.Priority ? 1 : 0;
+  if (Ahead < LeastQueue)
+    return false;
   // Calls that the backend servers run in the time of a typical one.
   double Capacity = 0;
   for (const BackendServerPtr &Server : Registry.servers(R.Service))
     if (Registry.usable(*Server) && !Server->suspect())
       Capacity += Registry.inFlightLimit(*Server, Now) /
                   std::max(1.0, Server->speed(Now));
-  const ServiceQueue &Q = queue(R.Service);
-  // Only calls that are served before this one count.
-  size_t Ahead = 0;
-  for (const auto &[Key, Id] : Q.Waiting)
-    Ahead += Key.first <= R.Priority ? 1 : 0;
-  if (Ahead < LeastQueue)
-    return false;
   auto Typical = inSeconds(typicalLatency(R.Route, R.Target));
   double Rounds =
       static_cast<double>(Ahead) / std::max(LeastCapacity, Capacity);
@@ -335,29 +321,33 @@
   bool MayRepeat =
       R.Idempotent ? Of.MayHaveRun < R.MaxAttempts : Of.MayHaveRun == 0;
   if (MayRepeat && Now < R.Deadline) {
-    ServerWanted Wanted;
-    Wanted.Typical = typicalLatency(R.Route, R.Target);
-    Wanted.Tried = &Of.Tried;
-    BackendServerPtr Server = Registry.choose(R.Service, Wanted, Now);
-    if (Server && queue(R.Service).Budget.takeExtra(Now)) {
-      ++Counters.Retries;
-      return sendTo(It, Server, false, Now);
-    }
-    if (!Server && Registry.hasUntried(R.Service, Of.Tried, Now))
+    if (BackendServerPtr Server = choose(Of, Now))
+      return sendAgain(It, Server, Now);
+    if (Registry.hasUntried(R.Service, Of.Tried, Now))
       return wait(It, Now);
-    Counters.BudgetRefused += Server ? 1 : 0;
   }
   endUnserved(It, Of.LastReason, Now);
 }
 
+void CallScheduler::sendAgain(CallMap::iterator It,
+                              const BackendServerPtr &Server,
+                              MonotonicTime Now) {
+  Call &Of = It->second;
+  if (!queue(Of.Request.Service).Budget.takeExtra(Now)) {
+    ++Counters.BudgetRefused;
+    return endUnserved(It, Of.LastReason, Now);
+  }
+  ++Counters.Retries;
+  sendTo(It, Server, false, Now);
+}
+
 void CallScheduler::endUnserved(CallMap::iterator It, CallReason Reason,
                                 MonotonicTime Now) {
   Call &Of = It->second;
   if (Of.Failure)
     return finish(It, CallOutcome::Answered, CallReason::None,
                   std::move(Of.Failure), Now);
-  finish(It, Of.MayHaveRun > 0 ? CallOutcome::Unknown : CallOutcome::NotRun,
-         Reason, {}, Now);
+  finish(It, outcomeUnanswered(Of), Reason, {}, Now);
 }
 
 void CallScheduler::finish(CallMap::iterator It, CallOutcome Outcome,
@@ -427,22 +417,16 @@
     ++Next;
     Call &Of = It->second;
     bool Repeats = !Of.Tried.empty();
-    ServerWanted Wanted;
-    Wanted.Typical = typicalLatency(Of.Request.Route, Of.Request.Target);
-    Wanted.Tried = &Of.Tried;
-    BackendServerPtr Server = Registry.choose(Service, Wanted, Now);
+    BackendServerPtr Server = choose(Of, Now);
     if (!Server && !Repeats)
       return;
     if (!Server)
       continue; // Others may be sent where this one was declined.
-    if (Repeats && !Q.Budget.takeExtra(Now)) {
-      ++Counters.BudgetRefused;
-      endUnserved(It, Of.LastReason, Now);
-      continue;
-    }
-    Counters.Retries += Repeats ? 1 : 0;
     stopWaiting(Of, It->first);
-    sendTo(It, Server, false, Now);
+    if (Repeats)
+      sendAgain(It, Server, Now);
+    else
+      sendTo(It, Server, false, Now);
   }
 }
 
@@ -489,10 +473,7 @@
       continue;
     }
     ++Counters.Expired;
-    finish(It,
-           It->second.MayHaveRun > 0 ? CallOutcome::Unknown
-                                     : CallOutcome::NotRun,
-           CallReason::Deadline, {}, Now);
+    finish(It, outcomeUnanswered(It->second), CallReason::Deadline, {}, Now);
   }
 }
 
--- a/balance/call_scheduler.h
+++ b/balance/call_scheduler.h
@@ -30,11 +30,10 @@
 #ifndef MIMOSA_BALANCE_CALL_SCHEDULER_H
 #define MIMOSA_BALANCE_CALL_SCHEDULER_H
 
+#include "balance/call.h"
 #include "balance/retry_budget.h"
 #include "balance/server_registry.h"
 #include "balance/typical_latency.h"
-#include "routing/caller_request.h"
-#include "routing/route.h"
 
 #include <functional>
 #include <map>
@@ -42,68 +41,8 @@
 
 namespace mimosa {
 
-using CallId = NumberId<struct CallIdTag, uint64_t>;
 using AttemptId = NumberId<struct AttemptIdTag, uint64_t>;
 
-/// One service's share of a caller's request.
-struct CallRequest {
-  ServiceId Service;
-  RouteId Route;
-  bool Idempotent = false;
-  uint32_t MaxAttempts = 1;
-  uint32_t Priority = 0;
-  /// The time within which the whole request is of full use.
-  Duration Target{0};
-  MonotonicTime Deadline;
-  /// An answer after this time is of little use: a call that still waits and
-  /// cannot be answered by then makes room for others. At most Deadline.
-  MonotonicTime UsefulUntil;
-  std::shared_ptr<const CallerRequest> Message;
-};
-
-enum class CallOutcome {
-  /// A backend server has answered, with success or failure.
-  Answered,
-  /// No backend server ran the request or will.
-  NotRun,
-  /// The request may have run, and there is no answer.
-  Unknown,
-};
-
-/// Why a call ended without an answer, for logs and refusals.
-enum class CallReason { None, Unavailable, Overloaded, Deadline, Lost, Shed };
-const char *callReasonName(CallReason Reason);
-
-struct CallResult {
-  CallOutcome Outcome = CallOutcome::NotRun;
-  CallReason Reason = CallReason::None;
-  /// Set if answered.
-  BackendAnswer Answer;
-  /// The backend server that answered or was tried last; empty if none was.
-  BackendServerId Server;
-  uint32_t Sends = 0;
-  /// Sends whose connection was lost while the request may have been running.
-  uint32_t Lost = 0;
-};
-
-/// A call that has not ended, for logs.
-struct CallStatus {
-  bool Waiting = false;
-  /// Backend servers that it was sent to, in order.
-  std::vector<BackendServerId> SentTo;
-  /// Hedges that were due and not sent: no backend server was worth one, or
-  /// the retry budget was used up.
-  uint32_t NoHedgeServer = 0;
-  uint32_t NoHedgeBudget = 0;
-};
-
-class CallObserver {
-public:
-  virtual ~CallObserver() = default;
-  /// Called once for each call that was not cancelled; possibly from begin().
-  virtual void callEnded(CallId Id, CallResult Result) = 0;
-};
-
 /// Carries requests to backend servers. Each send ends with exactly one of
 /// CallScheduler::answered(), notSent() and lost(), after send() has returned,
 /// unless it is abandoned.
@@ -224,7 +163,15 @@
   /// The latest time at which a waiting call is worth sending.
   MonotonicTime lastStart(const CallRequest &R);
   void tryHedge(CallMap::iterator It, MonotonicTime Now);
+  /// The backend server for the next send of \p Of; null if there is none now.
+  BackendServerPtr choose(const Call &Of, MonotonicTime Now);
   void retryOrEnd(CallMap::iterator It, MonotonicTime Now);
+  /// Sends a call once more, or ends it if the retry budget is used up.
+  void sendAgain(CallMap::iterator It, const BackendServerPtr &Server,
+                 MonotonicTime Now);
+  static CallOutcome outcomeUnanswered(const Call &Of) {
+    return Of.MayHaveRun > 0 ? CallOutcome::Unknown : CallOutcome::NotRun;
+  }
   /// Ends a call that no backend server has answered with success.
   void endUnserved(CallMap::iterator It, CallReason Reason, MonotonicTime Now);
   void finish(CallMap::iterator It, CallOutcome Outcome, CallReason Reason,
--- a/balance/server_registry.cpp
+++ b/balance/server_registry.cpp
@@ -118,6 +118,11 @@
   return Server.listed() && !ZonesOut.count(Server.entry().Zone);
 }
 
+bool ServerRegistry::ready(const BackendServer &Server,
+                           MonotonicTime Now) const {
+  return usable(Server) && (!Server.suspect() || Server.trialDue(Now));
+}
+
 bool ServerRegistry::hasRoom(const BackendServer &Server,
                              MonotonicTime Now) const {
   if (Server.inFlight() >= inFlightLimit(Server, Now))
@@ -175,7 +180,7 @@
                                    MonotonicTime Now) const {
   bool Alive = false;
   for (const BackendServerPtr &Server : servers(Service)) {
-    if (!usable(*Server) || (Server->suspect() && !Server->trialDue(Now)))
+    if (!ready(*Server, Now))
       continue;
     Alive = true;
     if (hasRoom(*Server, Now))
@@ -189,8 +194,7 @@
                                 MonotonicTime Now) const {
   const std::vector<BackendServerPtr> &All = servers(Service);
   return std::any_of(All.begin(), All.end(), [&](const BackendServerPtr &S) {
-    return usable(*S) && !contains(&Tried, S) &&
-           (!S->suspect() || S->trialDue(Now));
+    return ready(*S, Now) && !contains(&Tried, S);
   });
 }
 
--- a/balance/server_registry.h
+++ b/balance/server_registry.h
@@ -92,6 +92,8 @@
 
   const Limits &limitsOf(const ServiceId &Service) const;
   bool hasRoom(const BackendServer &Server, MonotonicTime Now) const;
+  /// Usable, and not set aside after failures.
+  bool ready(const BackendServer &Server, MonotonicTime Now) const;
   double rank(const BackendServer &Server, const ServerWanted &Wanted,
               MonotonicTime Now) const;
   void detach(const BackendServerPtr &Server);
--- a/base/http_header.cpp
+++ b/base/http_header.cpp
@@ -4,11 +4,14 @@
 
 namespace mimosa {
 
+bool sameHeaderName(std::string_view A, std::string_view B) {
+  return A.size() == B.size() && strncasecmp(A.data(), B.data(), A.size()) == 0;
+}
+
 const std::string *findHeader(const std::vector<HttpHeader> &Headers,
                               std::string_view Name) {
   for (const HttpHeader &H : Headers)
-    if (H.Name.size() == Name.size() &&
-        strncasecmp(H.Name.data(), Name.data(), Name.size()) == 0)
+    if (sameHeaderName(H.Name, Name))
       return &H.Value;
   return nullptr;
 }
--- a/base/http_header.h
+++ b/base/http_header.h
@@ -15,6 +15,9 @@
   std::string Value;
 };
 
+/// Whether two header names are the same; their case does not count.
+bool sameHeaderName(std::string_view A, std::string_view B);
+
 /// The value of the first header called \p Name (in any case); null if there
 /// is none.
 const std::string *findHeader(const std::vector<HttpHeader> &Headers,
--- a/daemon/options.cpp
+++ b/daemon/options.cpp
@@ -5,24 +5,9 @@
 #include "runtime/settings.h"
 
 #include <cstdio>
-#include <sstream>
 
 namespace mimosa {
 
-namespace {
-
-std::vector<HostId> splitHosts(const std::string &List) {
-  std::vector<HostId> Out;
-  std::istringstream In(List);
-  std::string One;
-  while (std::getline(In, One, ','))
-    if (!One.empty())
-      Out.emplace_back(One);
-  return Out;
-}
-
-} // namespace
-
 DaemonOptions parseDaemonOptions(int Argc, const char *const *Argv,
                                  std::optional<int> *Exit) {
   DaemonOptions Out;
@@ -68,7 +53,8 @@
   Out.PeerAddress = HostId(Peer);
   Out.Zone = AvailabilityZoneId(Zone);
   Out.Region = RegionId(Region);
-  Out.Seeds = splitHosts(Seeds);
+  std::vector<std::string> SeedList = splitList(Seeds);
+  Out.Seeds = std::vector<HostId>(SeedList.begin(), SeedList.end());
   Out.AddressLifetime = Milliseconds(LifetimeMs);
   Out.DrainLimit = Milliseconds(DrainMs);
   Out.RandomSeed = static_cast<uint64_t>(Seed);
--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -28,6 +28,26 @@
 /// the idle timeout must not meet a close.
 constexpr Duration IdleSlack = Seconds(2);
 
+struct CallGauge {
+  const char *Name;
+  uint64_t CallCounters::*Count;
+};
+constexpr CallGauge CallGauges[] = {
+    {"mimosa_calls_total", &CallCounters::Calls},
+    {"mimosa_sends_total", &CallCounters::Sends},
+    {"mimosa_hedges_total", &CallCounters::Hedges},
+    {"mimosa_hedges_won_total", &CallCounters::HedgesWon},
+    {"mimosa_retries_total", &CallCounters::Retries},
+    {"mimosa_retry_budget_refused_total", &CallCounters::BudgetRefused},
+    {"mimosa_calls_waited_total", &CallCounters::Waited},
+    {"mimosa_calls_lost_total", &CallCounters::Lost},
+    {"mimosa_calls_shed_total", &CallCounters::Shed},
+    {"mimosa_calls_misdirected_total", &CallCounters::OtherServer},
+    {"mimosa_calls_expired_total", &CallCounters::Expired},
+    {"mimosa_calls_unavailable_total", &CallCounters::Unavailable},
+    {"mimosa_calls_overloaded_total", &CallCounters::Overloaded},
+};
+
 } // namespace
 
 HttpServerOptions EntryNode::serverOptions(const std::string &Address) const {
@@ -77,29 +97,9 @@
                   [this, Read] { return static_cast<double>(Read(*this)); });
   };
   using N = EntryNode;
-  Gauge("mimosa_calls_total", [](N &S) { return S.Calls.counters().Calls; });
-  Gauge("mimosa_sends_total", [](N &S) { return S.Calls.counters().Sends; });
-  Gauge("mimosa_hedges_total", [](N &S) { return S.Calls.counters().Hedges; });
-  Gauge("mimosa_hedges_won_total",
-        [](N &S) { return S.Calls.counters().HedgesWon; });
-  Gauge("mimosa_retries_total",
-        [](N &S) { return S.Calls.counters().Retries; });
-  Gauge("mimosa_retry_budget_refused_total",
-        [](N &S) { return S.Calls.counters().BudgetRefused; });
-  Gauge("mimosa_calls_waited_total",
-        [](N &S) { return S.Calls.counters().Waited; });
-  Gauge("mimosa_calls_lost_total",
-        [](N &S) { return S.Calls.counters().Lost; });
-  Gauge("mimosa_calls_shed_total",
-        [](N &S) { return S.Calls.counters().Shed; });
-  Gauge("mimosa_calls_misdirected_total",
-        [](N &S) { return S.Calls.counters().OtherServer; });
-  Gauge("mimosa_calls_expired_total",
-        [](N &S) { return S.Calls.counters().Expired; });
-  Gauge("mimosa_calls_unavailable_total",
-        [](N &S) { return S.Calls.counters().Unavailable; });
-  Gauge("mimosa_calls_overloaded_total",
-        [](N &S) { return S.Calls.counters().Overloaded; });
+  for (const CallGauge &G : CallGauges)
+    Gauge(G.Name,
+          [Count = G.Count](N &S) { return S.Calls.counters().*Count; });
   Gauge("mimosa_backend_connections_opened_total",
         [](N &S) { return S.Channels.counters().Opened; });
   Gauge("mimosa_backend_connections", [](N &S) { return S.Channels.open(); });
--- a/entry/entry_options.cpp
+++ b/entry/entry_options.cpp
@@ -3,7 +3,6 @@
 #include "runtime/settings.h"
 
 #include <algorithm>
-#include <sstream>
 
 namespace mimosa {
 
@@ -78,10 +77,8 @@
   EntryOptions Made = Out;
   Made.Zone = AvailabilityZoneId(Zone);
   Made.PeerAddress = HostId(Peer);
-  std::istringstream SeedList(Seeds);
-  for (std::string One; std::getline(SeedList, One, ',');)
-    if (!One.empty())
-      Made.Seeds.emplace_back(One);
+  std::vector<std::string> SeedList = splitList(Seeds);
+  Made.Seeds = std::vector<HostId>(SeedList.begin(), SeedList.end());
   Made.RetryBudget.Window = Milliseconds(WindowMs);
   Made.AddressLifetime = Seconds(std::min(AddressLifetimeS, LongestLifetimeS));
   Made.StopLimit = Duration(static_cast<int64_t>(StopLimitS * 1e6));
--- a/gather/gather_query.h
+++ b/gather/gather_query.h
@@ -16,7 +16,7 @@
 #ifndef MIMOSA_GATHER_GATHER_QUERY_H
 #define MIMOSA_GATHER_GATHER_QUERY_H
 
-#include "balance/call_scheduler.h"
+#include "balance/call.h"
 #include "gather/top_records.h"
 #include "routing/route.h"
 
--- a/picture/source_health.h
+++ b/picture/source_health.h
@@ -3,8 +3,7 @@
 //
 // * A failure of less than the grace does not make the picture stale: followers
 //   that left at once would all turn to the store in the same moment.
-// * A source that was cut off silently shows no failure until a wait has
-// passed.
+// * A source that was cut off silently shows no failure until a wait has ended.
 //   A picture is therefore also stale some time after it was last known to be
 //   up to date, so that followers learn of a change elsewhere in time.
 // * A watch that is opened right after the store has dropped its history can
--- a/runtime/asio_fiber.cpp
+++ b/runtime/asio_fiber.cpp
@@ -70,13 +70,16 @@
   return tcp::endpoint(Ip, Port);
 }
 
-void setLivenessOptions(int Socket) {
+void setConnectionOptions(tcp::socket &Connection) {
+  error_code Ignored;
+  Connection.set_option(tcp::no_delay(true), Ignored);
   // Probes after 1 s of silence, then each second; and sent bytes that nobody
   // acknowledges. Links heal within a second or not soon.
   constexpr int IdleS = 1;
   constexpr int IntervalS = 1;
   constexpr int Probes = 3;
   constexpr unsigned UnacknowledgedMs = 3500;
+  auto Socket = static_cast<int>(Connection.native_handle());
   int On = 1;
   setsockopt(Socket, SOL_SOCKET, SO_KEEPALIVE, &On, sizeof(On));
   setsockopt(Socket, IPPROTO_TCP, TCP_KEEPIDLE, &IdleS, sizeof(IdleS));
--- a/runtime/asio_fiber.h
+++ b/runtime/asio_fiber.h
@@ -83,9 +83,10 @@
 /// The endpoint of "ip:port"; fails with BadSetting.
 Result<tcp::endpoint> parseEndpoint(std::string_view Address);
 
-/// Makes a connection whose other end has silently gone fail within about 4 s.
-/// Failures are ignored: the connection then only fails later.
-void setLivenessOptions(int Socket);
+/// Sends small messages at once, and makes a connection whose other end has
+/// silently gone fail within about 4 s. Failures are ignored: the connection is
+/// then only slower, or fails later.
+void setConnectionOptions(tcp::socket &Connection);
 
 /// Opens \p Acceptor on \p Address, "ip:port"; fails with BadSetting.
 Result<Done> listenOn(tcp::acceptor &Acceptor, const std::string &Address);
--- a/runtime/http.h
+++ b/runtime/http.h
@@ -26,6 +26,12 @@
 
 namespace mimosa {
 
+/// Longest body of an answer that is read.
+constexpr size_t MaxAnswerBytes = 16 << 20;
+
+/// \p Text for the query string of a target.
+std::string percentEncoded(const std::string &Text);
+
 struct HttpRequest {
   std::string Method = "GET";
   /// Path with the query string, as sent.
--- a/runtime/http_channel.cpp
+++ b/runtime/http_channel.cpp
@@ -15,7 +15,6 @@
 
 namespace {
 
-constexpr size_t MaxAnswerBytes = 16 << 20;
 constexpr size_t ReadBytes = 16 * 1024;
 
 class Channel final : public HttpChannel {
@@ -59,8 +58,7 @@
 void Channel::setOptions() {
   error_code Ignored;
   Socket.non_blocking(true, Ignored);
-  Socket.set_option(tcp::no_delay(true), Ignored);
-  setLivenessOptions(static_cast<int>(Socket.native_handle()));
+  setConnectionOptions(Socket);
 }
 
 void Channel::connect(const tcp::endpoint &To) {
--- a/runtime/http_client.cpp
+++ b/runtime/http_client.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr size_t MaxAnswerBytes = 16 << 20;
-
 Error ioError(const std::string &Address, const char *Step,
               error_code Failure) {
   ResultCode Code = Failure == beast::error::timeout ? ResultCode::Timeout
@@ -50,9 +48,7 @@
   });
   if (Out.Failure)
     return ioError(Address, "connecting to", Out.Failure);
-  error_code Ignored;
-  State->Stream.socket().set_option(tcp::no_delay(true), Ignored);
-  setLivenessOptions(static_cast<int>(State->Stream.socket().native_handle()));
+  setConnectionOptions(State->Stream.socket());
   State->Open = true;
   return std::unique_ptr<HttpConnection>(new HttpConnection(std::move(State)));
 }
--- a/runtime/http_message.cpp
+++ b/runtime/http_message.cpp
@@ -2,6 +2,8 @@
 
 #include "base/json_fields.h"
 
+#include <cctype>
+
 namespace mimosa {
 
 namespace {
@@ -35,6 +37,19 @@
 
 } // namespace
 
+std::string percentEncoded(const std::string &Text) {
+  constexpr const char *Hex = "0123456789ABCDEF";
+  std::string Out;
+  for (char C : Text) {
+    auto Byte = static_cast<unsigned char>(C);
+    if (isalnum(Byte) || C == '-' || C == '_' || C == '.' || C == '/')
+      Out.push_back(C);
+    else
+      Out.append({'%', Hex[Byte >> 4], Hex[Byte & 15]});
+  }
+  return Out;
+}
+
 std::string_view HttpRequest::path() const {
   std::string_view Whole = Target;
   return Whole.substr(0, Whole.find('?'));
--- a/runtime/http_server.cpp
+++ b/runtime/http_server.cpp
@@ -125,8 +125,7 @@
 void HttpServerConnection::setSocketOptions() {
   error_code Ignored;
   Socket.non_blocking(true, Ignored);
-  Socket.set_option(tcp::no_delay(true), Ignored);
-  setLivenessOptions(static_cast<int>(Socket.native_handle()));
+  setConnectionOptions(Socket);
   auto Timeout =
       static_cast<unsigned>(inMilliseconds(Options.UnreachableTimeout));
   setsockopt(Socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &Timeout,
--- a/runtime/settings.cpp
+++ b/runtime/settings.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <popt.h>
+#include <sstream>
 
 namespace mimosa {
 
@@ -57,6 +58,15 @@
   All.push_back(std::move(New));
 }
 
+std::vector<std::string> splitList(const std::string &List) {
+  std::vector<std::string> Out;
+  std::istringstream In(List);
+  for (std::string One; std::getline(In, One, ',');)
+    if (!One.empty())
+      Out.push_back(One);
+  return Out;
+}
+
 void Settings::number(const char *Name, const char *Help, int64_t *Value,
                       int64_t Lowest, int64_t Highest) {
   auto New = std::make_unique<Setting>();
--- a/runtime/settings.h
+++ b/runtime/settings.h
@@ -19,6 +19,9 @@
 
 namespace mimosa {
 
+/// The items of a comma-separated setting; empty ones are left out.
+std::vector<std::string> splitList(const std::string &List);
+
 class Settings {
 public:
   /// \p Arguments describes what follows the flags, such as "COMMAND [FILE]";
--- a/tools/ctl_main.cpp
+++ b/tools/ctl_main.cpp
@@ -6,7 +6,6 @@
 
 #include <cstdio>
 #include <cstdlib>
-#include <sstream>
 
 namespace {
 constexpr int UsageStatus = 2;
@@ -36,11 +35,7 @@
     return UsageStatus;
   }
   Options.Timeout = mimosa::Milliseconds(TimeoutMs);
-  std::istringstream In(Daemons);
-  std::string One;
-  while (std::getline(In, One, ','))
-    if (!One.empty())
-      Options.Daemons.push_back(One);
+  Options.Daemons = mimosa::splitList(Daemons);
   int Status = 0;
   mimosa::FiberLoop Loop;
   Loop.run([&] {
