Give the tests' records, bounds and disturbances one place

Cause: the platform's bounds stood in two test files, the configuration record and a searcher's entry in three, the start of a second host in seven tests; in the soak each fault of a connection set and healed its proxy by itself, and one heal ran once for each host of a zone. Change: bounds, configuration() and server_entry() in platform_stand_in; EntryTest.start_second(); FaultProxy.disturb() and heal(). Assertions, bounds and the order of random draws are unchanged. entry_test.py loses the lines of the shared parts only.

--- a/tools/entry_process.py
+++ b/tools/entry_process.py
@@ -7,11 +7,9 @@
 import time
 from typing import Any
 
-from platform_stand_in import LOCALHOST
+from platform_stand_in import GRACE_S, LOCALHOST
 from small_system import SmallSystem
 
-#: A process is killed so long after its termination signal.
-GRACE_S = 6.0
 READY_TIMEOUT_S = 5.0
 
 
--- a/tools/entry_test.py
+++ b/tools/entry_test.py
@@ -12,17 +12,12 @@
 import unittest
 from typing import Any
 
-from entry_process import GRACE_S, Entry
+from entry_process import Entry
 from fault_proxy import FaultProxy, Mode
-from platform_stand_in import LOCALHOST, RECORD_BYTES, Searcher, Store
+from platform_stand_in import (DRAIN_S, GRACE_S, IN_FORCE_S, LOCALHOST, RECORD_BYTES, STABLE_S,
+                               Searcher, Store, configuration)
 from small_system import free_ports
 
-#: A change of the configuration must be in force, and a draining searcher get
-#: nothing more, within this time.
-IN_FORCE_S = 3.0
-DRAIN_S = 3.0
-#: The store counts as stable so long after its last fault.
-STABLE_S = 4.0
 SHARDS = 10
 TOP = 5
 
@@ -51,6 +46,13 @@
         self.entry.wait_ready()
         self.next_id = 0
 
+    def start_second(self, store: str = "", seeds: str = "") -> Entry:
+        """Starts host h2, which is stopped when the test ends."""
+        second = Entry("h2", store or self.store.address, self.ports[5:], seeds=seeds)
+        self.addCleanup(second.stop)
+        second.wait_ready()
+        return second
+
     def tearDown(self) -> None:
         self.assertIsNone(self.entry.process.poll(), "the entry host ended by itself")
 
@@ -70,12 +72,8 @@
                "timeoutMs": 4000, "targetLatencyMs": 600, "priority": 2, "maxAttempts": 2,
                "service": accounts}
         names = [f"shard-{s}" for s in range(SHARDS)] + ["accounts", "other"]
-        self.store.put("op/config", {
-            "version": self.version, "routes": [gather, one, *(more or [])],
-            "services": [{"name": name, "healthPath": "/health", "maxConnections": 36,
-                          "coldS": 3.0, "coldPerS": 0.0} for name in names],
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144,
-                       "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})
+        self.store.put("op/config", configuration(
+            self.version, [gather, one, *(more or [])], names))
 
     def request(self, path: str, body: bytes | None = None, chunked: bool = False,
                 deadline_ms: int = 800, entry: Entry | None = None,
@@ -222,32 +220,24 @@
     def test_host_that_starts_without_the_store_asks_a_seed(self) -> None:
         # Guards against a host that serves nothing because it restarted while
         # its zone was cut off from the store.
-        second = Entry("h2", f"{LOCALHOST}:1", self.ports[5:], seeds=self.entry.peer)
-        self.addCleanup(second.stop)
-        second.wait_ready()
+        second = self.start_second(store=f"{LOCALHOST}:1", seeds=self.entry.peer)
         self.assert_whole(second)
 
     def test_host_that_restarts_without_the_store_is_offered_a_picture(self) -> None:
         # Guards against a host that serves nothing because it restarted while
         # its zone was cut off, and none of its seeds is in that zone.
-        second = Entry("h2", self.store.address, self.ports[5:])
-        self.addCleanup(second.stop)
-        second.wait_ready()
+        second = self.start_second()
         self.eventually(2, lambda: len(self.store.keys("mimosa/hosts/")) == 2)
         time.sleep(0.5)
         second.process.send_signal(signal.SIGTERM)
         self.assertEqual(second.process.wait(GRACE_S), 0)
-        again = Entry("h2", f"{LOCALHOST}:1", self.ports[5:])
-        self.addCleanup(again.stop)
-        again.wait_ready()
+        again = self.start_second(store=f"{LOCALHOST}:1")
         self.assert_whole(again)
 
     def test_followers_of_a_stopping_host_stay_current(self) -> None:
         # Guards against a host that follows a stopping one, whose picture no
         # longer changes: h1 follows the store for h2.
-        second = Entry("h2", self.store.address, self.ports[5:])
-        self.addCleanup(second.stop)
-        second.wait_ready()
+        second = self.start_second()
         self.eventually(2, lambda: len(self.store.keys("mimosa/hosts/")) == 2)
         time.sleep(1)
         # The watch that runs at the signal ends with another change, before h1
@@ -273,9 +263,7 @@
         self.entry = Entry("h1", link.address, self.ports)
         self.addCleanup(self.entry.stop)
         self.entry.wait_ready()
-        second = Entry("h2", self.store.address, self.ports[5:])
-        self.addCleanup(second.stop)
-        second.wait_ready()
+        second = self.start_second()
         self.eventually(2, lambda: len(self.store.keys("mimosa/hosts/")) == 2)
         time.sleep(4)  # Waits have their full length again.
         watches = self.store.calls["kv-watch"]
@@ -287,9 +275,7 @@
 
     def test_hosts_know_each_other(self) -> None:
         # Guards against callers that are sent to a host that has gone.
-        second = Entry("h2", self.store.address, self.ports[5:], seeds=self.entry.peer)
-        self.addCleanup(second.stop)
-        second.wait_ready()
+        second = self.start_second(seeds=self.entry.peer)
 
         def addresses(entry: Entry) -> list[str]:
             path = "/resolve?name=h.example&region=r&zone=z1"
@@ -304,9 +290,7 @@
 
     def test_termination_cuts_off_nothing(self) -> None:
         # Guards against requests that are lost in a planned stop.
-        second = Entry("h2", self.store.address, self.ports[5:], seeds=self.entry.peer)
-        self.addCleanup(second.stop)
-        second.wait_ready()
+        second = self.start_second(seeds=self.entry.peer)
         self.eventually(2, lambda: self.request("/all/2f", entry=second)[0] == 200)
         self.single[0].delay_s = self.single[1].delay_s = 1.5
         results: list[int] = []
--- a/tools/fault_proxy.py
+++ b/tools/fault_proxy.py
@@ -2,7 +2,8 @@
 
     proxy = FaultProxy(("127.0.0.1", 8080))
     proxy.address            # where clients connect
-    proxy.mode = Mode.SILENT
+    proxy.disturb(Mode.SILENT)
+    proxy.heal()
     proxy.reset()            # ends all open connections with a reset
     proxy.close()
 
@@ -72,6 +73,17 @@
         self.port: int = self._server.sockets[0].getsockname()[1]
         self.address = f"{LOCALHOST}:{self.port}"
 
+    def disturb(self, mode: Mode) -> None:
+        """Begins ``mode``; RESET also ends the open connections."""
+        self.mode = mode
+        if mode == Mode.RESET:
+            self.reset()
+
+    def heal(self) -> None:
+        """Ends the disturbance, and the connections whose bytes were swallowed."""
+        self.mode = Mode.PASS
+        self.reset()
+
     def reset(self) -> None:
         self._loop.call_soon_threadsafe(self._reset_all)
 
--- a/tools/fuzz_test.py
+++ b/tools/fuzz_test.py
@@ -15,7 +15,7 @@
 import unittest
 
 from entry_process import Entry
-from platform_stand_in import Handler, Searcher, Store
+from platform_stand_in import Handler, Searcher, Store, configuration
 from small_system import free_ports
 
 ROUNDS = int(os.environ.get("FUZZ_ROUNDS", "150"))
@@ -99,15 +99,11 @@
         self.store = HostileStore(random.Random(SEED + 1))
         self.searcher = HostileSearcher(random.Random(SEED + 2))
         self.store.put(f"servers/{self.searcher.name}", self.searcher.entry())
-        self.store.put("op/config", {
-            "version": 1, "routes": [
-                {"name": "r", "host": "h.example", "prefix": "/one/", "kind": "safe",
+        route = {"name": "r", "host": "h.example", "prefix": "/one/", "kind": "safe",
                  "timeoutMs": 900, "targetLatencyMs": 300, "priority": 1, "maxAttempts": 1,
-                 "service": "one"}],
-            "services": [{"name": "one", "healthPath": "/health", "maxConnections": 36,
-                          "coldS": 3.0, "coldPerS": 0.0}],
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144,
-                       "headerTimeoutMs": 300, "idleTimeoutMs": 1500}})
+                 "service": "one"}
+        self.store.put("op/config", configuration(
+            1, [route], ["one"], header_timeout_ms=300, idle_timeout_ms=1500))
         self.entry = Entry("h1", self.store.address, free_ports())
         self.addCleanup(self.entry.stop)
         self.entry.wait_ready()
--- a/tools/platform_stand_in.py
+++ b/tools/platform_stand_in.py
@@ -23,6 +23,32 @@
 
 LOCALHOST = "127.0.0.1"
 RECORD_BYTES = 16
+#: Bounds of the platform, in seconds: a change of the configuration must be in
+#: force, and a draining searcher get nothing more, within these times.
+IN_FORCE_S = 3.0
+DRAIN_S = 3.0
+#: The store and a host count as stable so long after their last fault.
+STABLE_S = 4.0
+#: A process is killed so long after its termination signal.
+GRACE_S = 6.0
+
+
+def configuration(version: int, routes: list[dict[str, Any]], services: list[str],
+                  header_timeout_ms: int = 3000, idle_timeout_ms: int = 15000,
+                  ) -> dict[str, Any]:
+    """The record of the operator's configuration."""
+    return {"version": version, "routes": routes,
+            "services": [{"name": name, "healthPath": "/health", "maxConnections": 36,
+                          "coldS": 3.0, "coldPerS": 0.0} for name in services],
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144,
+                       "headerTimeoutMs": header_timeout_ms, "idleTimeoutMs": idle_timeout_ms}}
+
+
+def server_entry(service: str, address: str, zone: str, state: str, sequence: int,
+                 born: int = 1) -> dict[str, Any]:
+    """The record by which a searcher registers itself."""
+    return {"service": service, "address": address, "zone": zone, "version": "v1",
+            "slots": 4, "state": state, "coldLeftMs": 0, "sequence": sequence, "born": born}
 
 
 class _Server(http.server.ThreadingHTTPServer):
@@ -227,9 +253,7 @@
 
     def entry(self, state: str = "ready") -> dict[str, Any]:
         self.sequence += 1
-        return {"service": self.service, "address": self.address, "zone": self.zone,
-                "version": "v1", "slots": 4, "state": state, "coldLeftMs": 0,
-                "sequence": self.sequence, "born": 1}
+        return server_entry(self.service, self.address, self.zone, state, self.sequence)
 
     def stamp(self, request_id: str) -> str:
         return f"{self.name}.{request_id}"
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -166,6 +166,8 @@
 
 
 Undo = Callable[[], None]
+#: What can happen to a connection between callers, hosts and searchers.
+LINK_MODES = (Mode.SLOW, Mode.SILENT, Mode.CUT_THERE, Mode.CUT_BACK, Mode.RESET)
 
 
 class Faults:
@@ -209,52 +211,46 @@
     def _row(self) -> SearcherProcess:
         return self.rng.choice(self.system.rows)
 
-    def _disturb(self, scope: str, end: Undo) -> Undo:
-        """Notes a disturbance from now on, and its end when it is undone."""
-        span = checks.Span(time.monotonic(), float("inf"), scope)
-        self.system.history.disturbances.append(span)
+    def _disturb(self, scopes: list[str], end: Undo) -> Undo:
+        """Notes disturbances from now on, and their end when they are undone."""
+        now = time.monotonic()
+        spans = [checks.Span(now, float("inf"), scope) for scope in scopes]
+        self.system.history.disturbances += spans
 
         def undo() -> None:
             end()
-            span.end = time.monotonic()
+            for span in spans:
+                span.end = time.monotonic()
         return undo
 
     def _store(self, field: str) -> Undo:
         setattr(self.system.store, field, True)
-        return self._disturb(checks.STORE, lambda: setattr(self.system.store, field, False))
+        return self._disturb([checks.STORE], lambda: setattr(self.system.store, field, False))
 
     def _store_slow(self) -> Undo:
         delays = self.system.store.delays_s
         for call in ("kv-range", "kv-watch", "kv-keep", "kv-txn", "kv-lease"):
             delays[call] = self.rng.uniform(0.1, 0.8)
-        return self._disturb(checks.STORE, delays.clear)
+        return self._disturb([checks.STORE], delays.clear)
 
     def _store_forgets(self) -> Undo:
-        undo = self._disturb(checks.STORE, lambda: None)
+        undo = self._disturb([checks.STORE], lambda: None)
         self.system.store.forget_history()
         return undo
 
     def _store_rejects_host(self) -> Undo:
         host = self._host()
-        host.store.mode = self.rng.choice(
-            [Mode.SILENT, Mode.RESET, Mode.REFUSE, Mode.CUT_BACK, Mode.CUT_THERE])
-        if host.store.mode == Mode.RESET:
-            host.store.reset()
-
-        def heal() -> None:
-            host.store.mode = Mode.PASS
-            # What was swallowed does not come any more.
-            host.store.reset()
+        host.store.disturb(self.rng.choice(
+            [Mode.SILENT, Mode.RESET, Mode.REFUSE, Mode.CUT_BACK, Mode.CUT_THERE]))
         # Hosts of its zone may follow it.
-        undos = [self._disturb(one.name, heal) for one in self.system.hosts
-                 if one.zone == host.zone]
-        return lambda: [undo() for undo in undos] and None
+        names = [one.name for one in self.system.hosts if one.zone == host.zone]
+        return self._disturb(names, host.store.heal)
 
     def _searchers_killed(self) -> Undo:
         row = self._row()
         if row.state != "ready":
             return lambda: None
-        undo = self._disturb(checks.ALL_SEARCHERS, row.start)
+        undo = self._disturb([checks.ALL_SEARCHERS], row.start)
         row.state = "gone"
         row.kill()
         gone = list(row.names.values())
@@ -271,21 +267,13 @@
         process = self._row().process
         assert process is not None
         process.send_signal(signal.SIGSTOP)
-        return self._disturb(checks.ALL_SEARCHERS,
+        return self._disturb([checks.ALL_SEARCHERS],
                              lambda: process.send_signal(signal.SIGCONT))
 
     def _searchers_unreachable(self) -> Undo:
         row = self._row()
-        mode = self.rng.choice([Mode.SLOW, Mode.SILENT, Mode.CUT_THERE, Mode.CUT_BACK,
-                                Mode.RESET])
-        row.set_mode(mode)
-        if mode == Mode.RESET:
-            row.reset()
-
-        def heal() -> None:
-            row.set_mode(Mode.PASS)
-            row.reset()
-        return self._disturb(checks.ALL_SEARCHERS, heal)
+        row.disturb(self.rng.choice(LINK_MODES))
+        return self._disturb([checks.ALL_SEARCHERS], row.heal)
 
     def _searchers_misbehave(self) -> Undo:
         row = self._row()
@@ -300,7 +288,7 @@
         def heal() -> None:
             if row.starts == starts and row.state == "ready":
                 row.set(field, usual)
-        return self._disturb(checks.ALL_SEARCHERS, heal)
+        return self._disturb([checks.ALL_SEARCHERS], heal)
 
     def _leave(self, row: SearcherProcess, leave: Undo) -> None:
         leave()
@@ -331,27 +319,23 @@
 
     def _callers_link(self) -> Undo:
         host = self._host()
-        host.front.mode = self.rng.choice([Mode.SLOW, Mode.SILENT, Mode.CUT_THERE,
-                                           Mode.CUT_BACK, Mode.RESET])
-        if host.front.mode == Mode.RESET:
-            host.front.reset()
-
-        def heal() -> None:
-            host.front.mode = Mode.PASS
-            host.front.reset()
-        return self._disturb(host.name, heal)
+        host.front.disturb(self.rng.choice(LINK_MODES))
+        return self._disturb([host.name], host.front.heal)
 
     def _hosts_killed(self, hosts: list[Host]) -> Undo:
         killed = [host for host in hosts if host.runs and host.stopped is None]
-        undos = [self._disturb(host.name, host.start) for host in killed]
+        def start_all() -> None:
+            for host in killed:
+                host.start()
+        undo = self._disturb([host.name for host in killed], start_all)
         for host in killed:
             host.kill()
-        return lambda: [undo() for undo in undos] and None
+        return undo
 
     def _host_paused(self) -> Undo:
         host = self._host()
         host.signal(signal.SIGSTOP)
-        return self._disturb(host.name, lambda: host.signal(signal.SIGCONT))
+        return self._disturb([host.name], lambda: host.signal(signal.SIGCONT))
 
     def _restart(self, host: Host) -> None:
         """A planned stop, with more signals on the way, and a start."""
@@ -382,8 +366,10 @@
         return self._in_background(lambda: self._restart(host))
 
     def _rolling_restart(self) -> Undo:
-        return self._in_background(
-            lambda: [self._restart(host) for host in self.system.hosts[:2]] and None)
+        def restart_two() -> None:
+            for host in self.system.hosts[:2]:
+                self._restart(host)
+        return self._in_background(restart_two)
 
     def _settings_reloaded(self) -> Undo:
         host = self._host()
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -17,14 +17,12 @@
 from collections.abc import Callable, Iterable
 from typing import Optional
 
+from platform_stand_in import DRAIN_S, GRACE_S, IN_FORCE_S, STABLE_S
 from searcher_process import records
 
-#: Bounds of the platform, in seconds.
-CALM_S = 4.0
-IN_FORCE_S = 3.0
-DRAIN_S = 3.0
+#: Further bounds of the platform, in seconds.
+CALM_S = STABLE_S
 EVACUATION_S = 5.0
-GRACE_S = 6.0
 #: A process has set up its signal handlers after this time.
 START_S = 0.25
 LOSS_SLACK_S = 0.2
--- a/tools/soak_system.py
+++ b/tools/soak_system.py
@@ -18,9 +18,10 @@
 from typing import Any, Optional
 
 import soak_checks as checks
-from entry_process import GRACE_S, Entry
+from entry_process import Entry
 from fault_proxy import FaultProxy, Mode
-from platform_stand_in import LOCALHOST, Store
+from platform_stand_in import (DRAIN_S, GRACE_S, LOCALHOST, Store, configuration,
+                               server_entry)
 from small_system import free_ports
 
 TOOLS = pathlib.Path(__file__).resolve().parent
@@ -39,7 +40,7 @@
 LAPSE_S = 3 * HEARTBEAT_S
 POLL_S = 0.05
 #: A draining searcher serves on for the drain time and a little longer.
-DRAINING_S = checks.DRAIN_S + 0.3
+DRAINING_S = DRAIN_S + 0.3
 
 
 def single_service(version: int) -> str:
@@ -95,10 +96,9 @@
         """Writes the entries of all its searchers to the store."""
         self.system.sequence += 1
         for service, name in self.names.items():
-            self.system.store.put(f"servers/{name}", {
-                "service": service, "address": self.proxies[service].address,
-                "zone": self.zone, "version": "v1", "slots": 4, "state": self.state,
-                "coldLeftMs": 0, "sequence": self.system.sequence, "born": self.starts})
+            self.system.store.put(f"servers/{name}", server_entry(
+                service, self.proxies[service].address, self.zone, self.state,
+                self.system.sequence, born=self.starts))
 
     def drain(self) -> None:
         self.state = "draining"
@@ -124,9 +124,13 @@
             self.process.stdin.write(f"{name} {field} {value!r}\n")
         self.process.stdin.flush()
 
-    def set_mode(self, mode: Mode) -> None:
+    def disturb(self, mode: Mode) -> None:
         for proxy in self.proxies.values():
-            proxy.mode = mode
+            proxy.disturb(mode)
+
+    def heal(self) -> None:
+        for proxy in self.proxies.values():
+            proxy.heal()
 
     def reset(self) -> None:
         for proxy in self.proxies.values():
@@ -307,12 +311,7 @@
             {"name": "r-one", "host": "h.example", "prefix": "/one/", "kind": "unsafe",
              "timeoutMs": SINGLE_LIMIT_MS, "targetLatencyMs": 600, "priority": 2,
              "maxAttempts": checks.MAX_ATTEMPTS, "service": single}]
-        self.store.put("op/config", {
-            "version": self.version * 3, "routes": routes,
-            "services": [{"name": name, "healthPath": "/health", "maxConnections": 36,
-                          "coldS": 3.0, "coldPerS": 0.0} for name in everything],
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144,
-                       "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}})
+        self.store.put("op/config", configuration(self.version * 3, routes, everything))
         self.history.versions.append(checks.Version(
             self.version * 3, time.monotonic(), single, list(shards)))
 
