Judge backend servers against their own shard; add a model of the served systems

Cause: the typical latency was one median for all shards of a route. Where most shards are fast, the others looked slow or full: at most one request at a time, hedges and queueing calls refused, although nothing was overloaded.

Change: LatencyBook keeps a median for each service of a route; answers of backend servers that are slower than the fastest one of their service do not enter it. A host may always use its share of a backend server's slots. The queue estimate now applies from the first queued call on, so that a call which cannot be in time is refused at once.

--- a/balance/call_scheduler.cpp
+++ b/balance/call_scheduler.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-/// Assumed typical latency for few samples, as a share of the target latency.
-constexpr double InitialTypicalShare = 0.15;
+/// An answer counts as typical of its service if the relative latency of its
+/// backend server is at most this many times that of the fastest one.
+constexpr double MaxTypicalRatio = 2;
 /// An answer is overdue after this many typical latencies. The users' requests
 /// vary in their work, so that 2% of the answers take longer without a fault.
 constexpr double HedgeFactor = 2.0;
@@ -33,7 +34,7 @@
 /// After a caller has disconnected, no request may run on for half a second.
 constexpr Duration DisconnectedGrace = Milliseconds(150);
 /// Calls of a service that may always queue, whatever its servers' latencies.
-constexpr size_t MinQueueLength = 4;
+constexpr size_t MinQueueLength = 1;
 /// Lower bound of the capacity in wouldFinishTooLate(): one backend server that
 /// is ten times slower than usual.
 constexpr double MinCapacity = 0.1;
@@ -47,13 +48,14 @@
   return Queue;
 }
 
-Duration CallScheduler::typicalLatency(const RouteId &Route,
-                                       Duration TargetLatency) {
-  Duration Initial(static_cast<int64_t>(
-      static_cast<double>(TargetLatency.count()) * InitialTypicalShare));
-  auto Found =
-      Typical.try_emplace(Route, std::max<Duration>(Initial, Milliseconds(1)));
-  return Found.first->second.median();
+Duration CallScheduler::typicalLatency(const CallRequest &Request) {
+  return Latencies.typical(Request.Route, Request.Service,
+                           Request.TargetLatency);
+}
+
+Duration CallScheduler::typicalLatency(const AttemptState &Attempt) {
+  return Latencies.typical(Attempt.Route, Attempt.Server->entry().Service,
+                           Attempt.TargetLatency);
 }
 
 void CallScheduler::setWakeUp(CallId Id, CallState &Call, MonotonicTime At) {
@@ -89,8 +91,7 @@
 BackendServerPtr CallScheduler::choose(const CallState &Call,
                                        MonotonicTime Now) {
   ServerCriteria Criteria;
-  Criteria.TypicalLatency =
-      typicalLatency(Call.Request.Route, Call.Request.TargetLatency);
+  Criteria.TypicalLatency = typicalLatency(Call.Request);
   Criteria.TriedServers = &Call.TriedServers;
   return Registry.choose(Call.Request.Service, Criteria, Now);
 }
@@ -125,14 +126,13 @@
     if (Registry.usable(*Server) && !Server->ejected())
       Capacity += Registry.inFlightLimit(*Server, Now) /
                   std::max(1.0, Server->relativeLatency(Now));
-  auto Median = inSeconds(typicalLatency(Request.Route, Request.TargetLatency));
+  auto Median = inSeconds(typicalLatency(Request));
   double Rounds = static_cast<double>(Ahead) / std::max(MinCapacity, Capacity);
   return (Rounds + 1) * Median > inSeconds(Request.UsefulUntil - Now);
 }
 
 MonotonicTime CallScheduler::latestSendTime(const CallRequest &Request) {
-  return Request.UsefulUntil -
-         typicalLatency(Request.Route, Request.TargetLatency);
+  return Request.UsefulUntil - typicalLatency(Request);
 }
 
 void CallScheduler::enqueue(CallMap::iterator It, MonotonicTime Now) {
@@ -182,7 +182,7 @@
   Call.TriedServers.push_back(Server);
   Call.LastServer = Server->entry().Id;
   if (Request.Idempotent && Call.PossibleRuns < Request.MaxAttempts && !Hedge) {
-    Duration Median = typicalLatency(Request.Route, Request.TargetLatency);
+    Duration Median = typicalLatency(Request);
     double LatencyFactor =
         std::clamp(Server->relativeLatency(Now), 1.0, MaxHedgeLatencyFactor);
     Duration Delay(static_cast<int64_t>(static_cast<double>(Median.count()) *
@@ -205,7 +205,7 @@
   const CallRequest &Request = Call.Request;
   if (Call.OpenAttempts.size() != 1 || Call.PossibleRuns >= Request.MaxAttempts)
     return setWakeUp(It->first, Call, Request.Deadline);
-  Duration Median = typicalLatency(Request.Route, Request.TargetLatency);
+  Duration Median = typicalLatency(Request);
   const AttemptState &Overdue = Attempts.at(Call.OpenAttempts.front());
   Overdue.Server->recordStall(
       inSeconds(Now - Overdue.SentAt) / inSeconds(Median), Now);
@@ -246,9 +246,14 @@
 void CallScheduler::recordLatency(const AttemptState &Attempt,
                                   MonotonicTime Now) {
   Duration Latency = Now - Attempt.SentAt;
-  Duration Median = typicalLatency(Attempt.Route, Attempt.TargetLatency);
+  Duration Median = typicalLatency(Attempt);
   Attempt.Server->recordLatency(inSeconds(Latency) / inSeconds(Median), Now);
-  Typical.at(Attempt.Route).record(Latency);
+  // Slow backend servers do not change what is typical of their service, unless
+  // all of them are slow.
+  const ServiceId &Service = Attempt.Server->entry().Service;
+  if (Attempt.Server->relativeLatency(Now) <=
+      MaxTypicalRatio * Registry.leastRelativeLatency(Service, Now))
+    Latencies.record(Attempt.Route, Service, Latency, Now);
 }
 
 void CallScheduler::onAnswered(AttemptId Id, BackendAnswer Answer,
@@ -447,7 +452,7 @@
   ++Counters.CancelledAttempts;
   AttemptState Attempt;
   auto CallIt = closeAttempt(It, Attempt);
-  Duration Median = typicalLatency(Attempt.Route, Attempt.TargetLatency);
+  Duration Median = typicalLatency(Attempt);
   Attempt.Server->recordStall(
       inSeconds(Now - Attempt.SentAt) / inSeconds(Median), Now);
   if (Now - Attempt.SentAt > DetachedGrace)
--- a/balance/call_scheduler.h
+++ b/balance/call_scheduler.h
@@ -11,6 +11,10 @@
 // It performs no I/O and reads no clock. Its rules for common situations:
 // * One of three backend servers pauses (for 200 to 250 ms every few seconds):
 //   a hedge is sent after twice the typical latency, from the retry budget.
+// * Shards differ in speed, or one becomes slower as a whole: what is typical
+//   is measured for each shard, and a host may always use its share of a
+//   backend server's slots. Only a backend server that is slower than the
+//   others of its own shard is avoided.
 // * Some backend servers refuse requests while the others are busy: a refused
 //   call waits for a backend server that it has not tried, and its next attempt
 //   is taken from the retry budget.
@@ -125,9 +129,6 @@
   /// Number of queued calls.
   size_t waitingCalls(const ServiceId &Service) const;
   size_t attemptsInFlight() const { return Attempts.size(); }
-  /// Median latency of \p Route, or an estimate from \p TargetLatency while
-  /// there are few samples.
-  Duration typicalLatency(const RouteId &Route, Duration TargetLatency);
 
 private:
   struct AttemptState {
@@ -174,6 +175,8 @@
   using AttemptMap = std::unordered_map<AttemptId, AttemptState>;
 
   ServiceQueue &queue(const ServiceId &Service);
+  Duration typicalLatency(const CallRequest &Request);
+  Duration typicalLatency(const AttemptState &Attempt);
   void sendFirst(CallMap::iterator It, MonotonicTime Now);
   void sendTo(CallMap::iterator It, const BackendServerPtr &Server, bool Hedge,
               MonotonicTime Now);
@@ -220,7 +223,7 @@
   CallMap Calls;
   AttemptMap Attempts;
   std::unordered_map<ServiceId, ServiceQueue> Queues;
-  std::unordered_map<RouteId, TypicalLatency> Typical;
+  LatencyBook Latencies;
   std::set<std::pair<MonotonicTime, CallId>> CallWakeUps;
   std::set<std::pair<MonotonicTime, AttemptId>> AttemptWakeUps;
   /// The wake-up time that was last returned or notified.
--- /dev/null
+++ b/balance/retry_after.cpp
@@ -0,0 +1,22 @@
+#include "balance/retry_after.h"
+
+namespace mimosa {
+
+namespace {
+/// A queue that is too long shrinks within about the run time of one request.
+constexpr Duration OverloadedRetryAfter = Milliseconds(60);
+/// Backend servers that are down get a trial request after 250 ms.
+constexpr Duration UnavailableRetryAfter = Milliseconds(150);
+/// Largest random addition to the time, as a share of it.
+constexpr double Jitter = 0.5;
+} // namespace
+
+Duration retryAfter(CallReason Reason, Random &Rng) {
+  Duration Base = Reason == CallReason::Unavailable ? UnavailableRetryAfter
+                                                    : OverloadedRetryAfter;
+  double Factor = 1 + Jitter * Rng.uniform01();
+  return Duration(
+      static_cast<int64_t>(static_cast<double>(Base.count()) * Factor));
+}
+
+} // namespace mimosa
--- a/balance/server_registry.cpp
+++ b/balance/server_registry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace mimosa {
 
@@ -17,8 +18,8 @@
 /// paused backend server does not block the next one.
 constexpr uint32_t MinInFlight = 2;
 /// A backend server with this relative latency is slow or has a queue. Each
-/// host then has at most one request there, so that most requests wait at the
-/// hosts, where they can still be ordered by priority or refused.
+/// host then has at most its share of the slots there, so that most requests
+/// wait at the hosts, where they can still be ordered by priority or refused.
 constexpr double CongestedLatency = 2;
 /// Crossing zones costs latency and traffic: a backend server in another zone
 /// is chosen only if it is better by this factor and the round trip.
@@ -109,13 +110,23 @@
 
 uint32_t ServerRegistry::inFlightLimit(const BackendServer &Server,
                                        MonotonicTime Now) const {
-  if (Server.relativeLatency(Now) > CongestedLatency)
-    return 1;
-  double Share = std::ceil(RequestsPerSlot * Server.entry().Slots / HostCount);
-  uint32_t Limit = std::max(MinInFlight, static_cast<uint32_t>(Share));
+  bool Congested = Server.relativeLatency(Now) > CongestedLatency;
+  double Share = std::ceil((Congested ? 1 : RequestsPerSlot) *
+                           Server.entry().Slots / HostCount);
+  uint32_t Limit =
+      std::max(Congested ? 1 : MinInFlight, static_cast<uint32_t>(Share));
   return std::min(Limit, connectionLimit(Server));
 }
 
+double ServerRegistry::leastRelativeLatency(const ServiceId &Service,
+                                            MonotonicTime Now) const {
+  double Least = std::numeric_limits<double>::max();
+  for (const BackendServerPtr &Server : servers(Service))
+    if (usable(*Server) && !Server->ejected())
+      Least = std::min(Least, Server->relativeLatency(Now));
+  return Least;
+}
+
 bool ServerRegistry::usable(const BackendServer &Server) const {
   return Server.inService() && !EvacuatedZones.count(Server.entry().Zone);
 }
--- a/balance/server_registry.h
+++ b/balance/server_registry.h
@@ -88,6 +88,11 @@
   /// Whether \p Server is in service and its zone is not evacuated.
   bool usable(const BackendServer &Server) const;
 
+  /// The least relative latency among the usable backend servers of \p Service
+  /// that are not ejected; the highest double if there are none.
+  double leastRelativeLatency(const ServiceId &Service,
+                              MonotonicTime Now) const;
+
   const std::vector<BackendServerPtr> &servers(const ServiceId &Service) const;
   size_t size() const { return ById.size(); }
   BackendServerPtr find(const BackendServerId &Id) const;
--- a/base/json_fields.cpp
+++ b/base/json_fields.cpp
@@ -87,6 +87,22 @@
   return Fallback;
 }
 
+double JsonFields::decimalOr(const char *Name, double Lowest, double Highest,
+                             double Fallback) {
+  const Json *Field = find(Name);
+  if (!Field)
+    return Fallback;
+  if (Field->is_number()) {
+    double Value = Field->get<double>();
+    if (Value >= Lowest && Value <= Highest)
+      return Value;
+  }
+  fail(ResultCode::BadField,
+       Path + "." + Name + " must be a number from " + Json(Lowest).dump() +
+           " to " + Json(Highest).dump() + ", not " + Field->dump());
+  return Fallback;
+}
+
 bool JsonFields::flagOr(const char *Name, bool Fallback) {
   const Json *Field = find(Name);
   if (!Field)
--- a/base/json_fields.h
+++ b/base/json_fields.h
@@ -42,6 +42,10 @@
   /// An optional whole number; \p Fallback if it is missing.
   int64_t numberOr(const char *Name, int64_t Lowest, int64_t Highest,
                    int64_t Fallback);
+  /// An optional number in [\p Lowest, \p Highest]; \p Fallback if it is
+  /// missing.
+  double decimalOr(const char *Name, double Lowest, double Highest,
+                   double Fallback);
   /// An optional boolean; \p Fallback if it is missing.
   bool flagOr(const char *Name, bool Fallback);
   /// A required array; an empty array on failure.
--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -1,5 +1,6 @@
 #include "entry/entry_service.h"
 
+#include "balance/retry_after.h"
 #include "runtime/log.h"
 
 #include <algorithm>
@@ -16,15 +17,8 @@
 constexpr Duration UnconfiguredRetryAfter = Milliseconds(300);
 /// Callers of a stopping host can retry at once at other hosts.
 constexpr Duration StoppingRetryAfter = Milliseconds(20);
-/// A queue that is too long shrinks within about the run time of one request.
-constexpr Duration OverloadedRetryAfter = Milliseconds(60);
-/// Backend servers that are down get a trial request after 250 ms.
-constexpr Duration UnavailableRetryAfter = Milliseconds(150);
 /// A request that crashes backend servers stays quarantined for minutes.
 constexpr Duration QuarantinedRetryAfter = Seconds(10);
-/// Largest random addition to the retry time, as a share of it. It spreads the
-/// retries of callers that were refused at the same time.
-constexpr double RetryAfterJitter = 0.5;
 
 /// Wakes the fiber of a request when its call has ended.
 class SingleObserver : public CallObserver {
@@ -86,14 +80,6 @@
   return Out;
 }
 
-Duration EntryService::retryAfter(CallReason Reason) {
-  Duration Base = Reason == CallReason::Unavailable ? UnavailableRetryAfter
-                                                    : OverloadedRetryAfter;
-  double Factor = 1 + RetryAfterJitter * Rng.uniform01();
-  return Duration(
-      static_cast<int64_t>(static_cast<double>(Base.count()) * Factor));
-}
-
 void EntryService::recordOutcome(const RequestContext &Context,
                                  const char *Outcome,
                                  const std::string &Detail) {
@@ -217,7 +203,7 @@
       RoundRobins[Context.MatchedRoute.Id].next(Context.MatchedRoute.Targets);
   if (!Service)
     return refuse(Context, ResultCode::NoBackend, "no_target",
-                  UnavailableRetryAfter);
+                  retryAfter(CallReason::Unavailable, Rng));
   SingleObserver Observer;
   CallId Id =
       Scheduler.begin(makeCallRequest(Context, *Service), Observer, Loop.now());
@@ -252,22 +238,13 @@
   }
   case CallOutcome::NotRun:
     return refuse(Context, ResultCode::Overloaded, callReasonName(R.Reason),
-                  retryAfter(R.Reason));
+                  retryAfter(R.Reason, Rng));
   case CallOutcome::Unknown:
     break;
   }
   return fail(Context, R.Reason == CallReason::Deadline, Detail);
 }
 
-bool EntryService::cannotReachCoverage(const Route &R,
-                                       MonotonicTime Now) const {
-  size_t Unavailable = 0;
-  for (const ServiceId &Shard : R.Shards)
-    if (Registry.state(Shard, Now) == ServiceState::Unavailable)
-      ++Unavailable;
-  return R.Shards.size() - Unavailable < R.minShardResults();
-}
-
 bool EntryService::cancelUnfinished(const RequestContext &Context,
                                     const std::vector<CallId> &Ids,
                                     std::string *Unfinished) {
@@ -286,9 +263,9 @@
 
 HttpResponse EntryService::serveGather(const RequestContext &Context) {
   MonotonicTime Now = Loop.now();
-  if (cannotReachCoverage(Context.MatchedRoute, Now))
+  if (!coverageReachable(Context.MatchedRoute, Registry, Now))
     return refuse(Context, ResultCode::NoBackend, "shards_unavailable",
-                  retryAfter(CallReason::Unavailable));
+                  retryAfter(CallReason::Unavailable, Rng));
   GatherQuery Query(Context.MatchedRoute, Context.Times);
   GatherObserver Observer(Query);
   std::vector<CallId> Ids;
@@ -329,7 +306,7 @@
   if (!MayHaveRun)
     return refuse(Context, ResultCode::Overloaded,
                   callReasonName(Query.lastReason()),
-                  retryAfter(Query.lastReason()));
+                  retryAfter(Query.lastReason(), Rng));
   return fail(Context, Now >= Context.Times.Deadline, Detail);
 }
 
--- a/entry/entry_service.h
+++ b/entry/entry_service.h
@@ -83,10 +83,6 @@
                      const std::string &Detail);
   CallRequest makeCallRequest(const RequestContext &Context,
                               const ServiceId &Service) const;
-  Duration retryAfter(CallReason Reason);
-  /// Whether too many shards are unavailable to reach the minimum coverage of
-  /// \p R.
-  bool cannotReachCoverage(const Route &R, MonotonicTime Now) const;
 
   FiberLoop &Loop;
   ServerRegistry &Registry;
--- a/gather/gather_query.cpp
+++ b/gather/gather_query.cpp
@@ -22,6 +22,15 @@
   return {std::min(ArrivedAt + PartialDelay, Deadline), Deadline};
 }
 
+bool coverageReachable(const Route &R, const ServerRegistry &Registry,
+                       MonotonicTime Now) {
+  size_t Unavailable = 0;
+  for (const ServiceId &Shard : R.Shards)
+    if (Registry.state(Shard, Now) == ServiceState::Unavailable)
+      ++Unavailable;
+  return R.Shards.size() - Unavailable >= R.minShardResults();
+}
+
 GatherQuery::GatherQuery(const Route &R, GatherTimes Times)
     : TotalShards(R.Shards.size()), MinResults(R.minShardResults()),
       Times(Times), Merged(R.TopK) {
--- a/gather/gather_query.h
+++ b/gather/gather_query.h
@@ -18,6 +18,7 @@
 #define MIMOSA_GATHER_GATHER_QUERY_H
 
 #include "balance/call.h"
+#include "balance/server_registry.h"
 #include "gather/top_records.h"
 #include "routing/route.h"
 
@@ -35,6 +36,11 @@
 GatherTimes gatherTimes(const Route &R, MonotonicTime ArrivedAt,
                         MonotonicTime Deadline);
 
+/// Whether enough shards of \p R have backend servers that may answer to reach
+/// its minimum coverage. Otherwise a query is refused before any call.
+bool coverageReachable(const Route &R, const ServerRegistry &Registry,
+                       MonotonicTime Now);
+
 enum class GatherDecision { Wait, Answer, Fail };
 
 class GatherQuery {
--- /dev/null
+++ b/model/host_model.cpp
@@ -0,0 +1,110 @@
+#include "model/host_model.h"
+
+#include <algorithm>
+
+namespace mimosa {
+
+BackendServerId serverIdOf(const ServiceId &Service, uint32_t Number) {
+  return BackendServerId(Service.text() + "." + std::to_string(Number));
+}
+
+AvailabilityZoneId zoneOf(uint32_t Number) {
+  return AvailabilityZoneId("z" + std::to_string(Number + 1));
+}
+
+HostModel::HostModel(const LoadPattern &Pattern, uint32_t Number,
+                     EventQueue &Queue, Random &Rng, ServerModels &Servers)
+    : Pattern(Pattern), Queue(Queue), Rng(Rng), Servers(Servers),
+      Zone(zoneOf(Number % Pattern.Zones)), Registry(Zone, Rng),
+      Scheduler(Registry, *this) {
+  Registry.setHostCount(Pattern.Hosts);
+  Scheduler.setRetryBudget(
+      {Pattern.RetryRatio, Pattern.RetrySlack, Seconds(10)});
+  for (const ServiceModel &Service : Pattern.Services) {
+    Registry.setLimits(Service.Id, Service.MaxConnections, 0);
+    for (uint32_t I = 1; I <= Service.Servers; ++I) {
+      BackendServerEntry Entry;
+      Entry.Id = serverIdOf(Service.Id, I);
+      Entry.Service = Service.Id;
+      Entry.Address = Entry.Id.text();
+      Entry.Zone = zoneOf(I % Pattern.Zones);
+      Entry.Slots = Service.Slots;
+      Registry.update(std::move(Entry), Queue.now());
+    }
+  }
+  Scheduler.onEarlierWakeUp([this] { armTimer(); });
+}
+
+void HostModel::armTimer() {
+  MonotonicTime Next = Scheduler.nextWakeUp();
+  if (Next == Timer.first)
+    return;
+  Queue.remove(Timer);
+  Timer.first = MonotonicTime::max();
+  if (Next == MonotonicTime::max())
+    return;
+  Timer = Queue.add(Next, [this] {
+    Timer.first = MonotonicTime::max();
+    Scheduler.onTimer(Queue.now());
+    armTimer();
+  });
+}
+
+Duration HostModel::workOf(const RouteId &Id) {
+  auto Found =
+      std::find_if(Pattern.Routes.begin(), Pattern.Routes.end(),
+                   [&](const RouteModel &R) { return R.Definition.Id == Id; });
+  double Spread = Found->WorkSpread * (2 * Rng.uniform01() - 1);
+  return Duration(static_cast<int64_t>(
+      static_cast<double>(Found->Work.count()) * (1 + Spread)));
+}
+
+void HostModel::send(AttemptId Id, const BackendServerPtr &Server,
+                     const CallRequest &Request, Duration, bool) {
+  OpenAttempt &Attempt = Open[Id];
+  Attempt.NetworkTime = Pattern.NetworkTime;
+  if (Server->entry().Zone != Zone)
+    Attempt.NetworkTime += Pattern.CrossZoneTime;
+  Queue.add(Queue.now() + Attempt.NetworkTime,
+            [this, Id, Target = Servers.at(Server->entry().Id).get(),
+             Work = workOf(Request.Route)] {
+              auto Found = Open.find(Id);
+              if (Found == Open.end())
+                return;
+              Duration Back = Found->second.NetworkTime;
+              ServerModel::RequestKey Key =
+                  Target->arrive(Work, [this, Id, Back](ServerReply Reply) {
+                    Queue.add(Queue.now() + Back,
+                              [this, Id, Reply] { receive(Id, Reply); });
+                  });
+              Found->second.Server = Target;
+              Found->second.Key = Key;
+            });
+}
+
+void HostModel::cancel(AttemptId Id) {
+  auto Found = Open.find(Id);
+  if (Found == Open.end())
+    return;
+  if (ServerModel *Server = Found->second.Server)
+    Queue.add(Queue.now() + Found->second.NetworkTime,
+              [Server, Key = Found->second.Key] { Server->cancel(Key); });
+  Open.erase(Found);
+}
+
+void HostModel::receive(AttemptId Id, ServerReply Reply) {
+  if (Open.erase(Id) == 0)
+    return;
+  if (Reply == ServerReply::ConnectionRefused) {
+    Scheduler.onNotSent(Id, Queue.now());
+  } else {
+    BackendAnswer Answer;
+    Answer.Status = Reply == ServerReply::Success ? 200 : 503;
+    Answer.NotRun = Reply == ServerReply::NotRun;
+    Answer.Signature = "signed";
+    Scheduler.onAnswered(Id, std::move(Answer), Queue.now());
+  }
+  armTimer();
+}
+
+} // namespace mimosa
--- /dev/null
+++ b/model/host_model.h
@@ -0,0 +1,63 @@
+// One entry host of a simulation: the scheduler and the registry of the entry
+// daemon, and a transport to models of backend servers.
+
+#ifndef MIMOSA_MODEL_HOST_MODEL_H
+#define MIMOSA_MODEL_HOST_MODEL_H
+
+#include "balance/call_scheduler.h"
+#include "model/server_model.h"
+
+#include <memory>
+#include <unordered_map>
+
+namespace mimosa {
+
+using ServerModels =
+    std::unordered_map<BackendServerId, std::unique_ptr<ServerModel>>;
+
+/// The id of the \p Number-th backend server of \p Service, from 1.
+BackendServerId serverIdOf(const ServiceId &Service, uint32_t Number);
+/// The zone with this number.
+AvailabilityZoneId zoneOf(uint32_t Number);
+
+class HostModel : private BackendTransport {
+public:
+  /// \p Number counts the hosts, from 0.
+  HostModel(const LoadPattern &Pattern, uint32_t Number, EventQueue &Queue,
+            Random &Rng, ServerModels &Servers);
+
+  CallScheduler &scheduler() { return Scheduler; }
+  const CallScheduler &scheduler() const { return Scheduler; }
+  const ServerRegistry &registry() const { return Registry; }
+
+private:
+  struct OpenAttempt {
+    ServerModel *Server = nullptr;
+    ServerModel::RequestKey Key = 0;
+    Duration NetworkTime{0};
+  };
+
+  void send(AttemptId Id, const BackendServerPtr &Server,
+            const CallRequest &Request, Duration TimeLeft,
+            bool FreshConnection) override;
+  void cancel(AttemptId Id) override;
+  /// The reply to an attempt has reached the host.
+  void receive(AttemptId Id, ServerReply Reply);
+  Duration workOf(const RouteId &Id);
+  /// Calls the scheduler when its next timer is due.
+  void armTimer();
+
+  const LoadPattern &Pattern;
+  EventQueue &Queue;
+  Random &Rng;
+  ServerModels &Servers;
+  AvailabilityZoneId Zone;
+  ServerRegistry Registry;
+  CallScheduler Scheduler;
+  std::unordered_map<AttemptId, OpenAttempt> Open;
+  EventQueue::Key Timer{MonotonicTime::max(), 0};
+};
+
+} // namespace mimosa
+
+#endif // MIMOSA_MODEL_HOST_MODEL_H
--- /dev/null
+++ b/model/server_model.h
@@ -0,0 +1,71 @@
+// A model of one backend server: slots, a queue in front of them, pauses, and
+// the faults of a load pattern.
+
+#ifndef MIMOSA_MODEL_SERVER_MODEL_H
+#define MIMOSA_MODEL_SERVER_MODEL_H
+
+#include "base/random.h"
+#include "model/event_queue.h"
+#include "model/load_pattern.h"
+
+#include <deque>
+#include <set>
+
+namespace mimosa {
+
+enum class ServerReply { Success, NotRun, ConnectionRefused };
+
+class ServerModel {
+public:
+  using ReplyFunction = std::function<void(ServerReply)>;
+  /// Identifies a request at one server.
+  using RequestKey = uint64_t;
+
+  ServerModel(EventQueue &Queue, Random &Rng, const ServiceModel &Service)
+      : Queue(Queue), Rng(Rng), Service(Service),
+        PausePhase(Service.PauseInterval > Duration(0)
+                       ? static_cast<int64_t>(Rng.below(static_cast<uint64_t>(
+                             Service.PauseInterval.count())))
+                       : 0) {}
+
+  /// A request arrives that takes \p Work at a server without faults. Calls
+  /// \p Reply once, unless the server is silent or the request is cancelled.
+  RequestKey arrive(Duration Work, ReplyFunction Reply);
+  /// The connection of a request was closed: it frees its place.
+  void cancel(RequestKey Key);
+
+  /// Begins or ends a fault.
+  void setFault(const ModelEvent &Event, bool Active);
+
+  uint64_t arrivals() const { return Arrivals; }
+  uint64_t runs() const { return Runs; }
+
+private:
+  struct Request {
+    RequestKey Key = 0;
+    Duration Work{0};
+    ReplyFunction Reply;
+  };
+
+  void startNext();
+  /// When work that starts at \p From and takes \p Work ends, with pauses.
+  MonotonicTime endOfWork(MonotonicTime From, Duration Work) const;
+
+  EventQueue &Queue;
+  Random &Rng;
+  const ServiceModel &Service;
+  Duration PausePhase;
+  double SlowFactor = 1;
+  double ShedShare = 0;
+  bool Silent = false;
+  bool Crashed = false;
+  uint64_t Arrivals = 0;
+  uint64_t Runs = 0;
+  RequestKey LastKey = 0;
+  std::set<RequestKey> Running;
+  std::deque<Request> Waiting;
+};
+
+} // namespace mimosa
+
+#endif // MIMOSA_MODEL_SERVER_MODEL_H
--- /dev/null
+++ b/model/simulation.cpp
@@ -0,0 +1,307 @@
+#include "model/simulation.h"
+
+#include "balance/retry_after.h"
+#include "gather/gather_query.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace mimosa {
+
+namespace {
+
+/// A caller that was not told when to return retries after this time.
+constexpr Duration RetryDelay = Milliseconds(5);
+constexpr double HighPercentile = 0.99;
+
+Duration percentile(const std::vector<Duration> &Sorted, double Share) {
+  if (Sorted.empty())
+    return Duration(0);
+  auto Index = static_cast<size_t>(Share * static_cast<double>(Sorted.size()));
+  return Sorted[std::min(Index, Sorted.size() - 1)];
+}
+
+} // namespace
+
+const char *requestOutcomeName(RequestOutcome Outcome) {
+  switch (Outcome) {
+  case RequestOutcome::Complete:
+    return "complete";
+  case RequestOutcome::Partial:
+    return "partial";
+  case RequestOutcome::Refused:
+    return "refused";
+  case RequestOutcome::Failed:
+    return "failed";
+  }
+  return "unknown";
+}
+
+/// One request at one host: a call to each shard, or to one of the targets.
+class Simulation::Query : public CallObserver,
+                          public std::enable_shared_from_this<Query> {
+public:
+  using EndFunction = std::function<void(const Query &, RequestOutcome)>;
+
+  Query(EventQueue &Queue, Random &Rng, HostModel &Host,
+        const RouteModel &Model, EndFunction Ended)
+      : Queue(Queue), Rng(Rng), Host(Host), Definition(Model.Definition),
+        AskedAt(Queue.now()), Ended(std::move(Ended)) {
+    if (!Definition.isGather())
+      Definition.Shards = {
+          Definition.Targets[Rng.below(Definition.Targets.size())].Service};
+    Times = gatherTimes(Definition, AskedAt, AskedAt + Definition.Timeout);
+    State.emplace(Definition, Times);
+  }
+
+  void start() {
+    Self = shared_from_this();
+    if (!coverageReachable(Definition, Host.registry(), Queue.now())) {
+      LastReason = CallReason::Unavailable;
+      return finish(RequestOutcome::Refused);
+    }
+    for (const ServiceId &Shard : Definition.Shards)
+      Ids.push_back(
+          Host.scheduler().begin(makeCall(Shard), *this, Queue.now()));
+    decideSoon();
+  }
+
+  void callEnded(CallId, CallResult Result) override {
+    State->addResult(Result);
+    decideSoon();
+  }
+
+  const Route &route() const { return Definition; }
+  MonotonicTime askedAt() const { return AskedAt; }
+  /// When a refused caller may return.
+  Duration returnAfter() const { return retryAfter(LastReason, Rng); }
+
+private:
+  CallRequest makeCall(const ServiceId &Service) const {
+    CallRequest Out;
+    Out.Service = Service;
+    Out.Route = Definition.Id;
+    Out.Idempotent = Definition.Idempotent;
+    Out.MaxAttempts = Definition.MaxAttempts;
+    Out.Priority = Definition.Priority;
+    Out.TargetLatency = Definition.TargetLatency;
+    Out.Deadline = Times.Deadline;
+    Out.UsefulUntil =
+        Definition.Targets.empty() ? Times.PartialFrom : Times.Deadline;
+    return Out;
+  }
+
+  /// Decides after the current function has returned, since a call may end
+  /// while others are still being started.
+  void decideSoon() {
+    Queue.add(Queue.now(), [Kept = shared_from_this()] { Kept->decide(); });
+  }
+
+  void decide() {
+    if (!Self)
+      return;
+    MonotonicTime Now = Queue.now();
+    GatherDecision Decision = State->decide(Now);
+    if (Decision == GatherDecision::Wait) {
+      MonotonicTime Next = State->nextWakeUp(Now);
+      if (Next != WakeUpAt)
+        Queue.add(Next, [Kept = shared_from_this()] { Kept->decide(); });
+      WakeUpAt = Next;
+      return;
+    }
+    bool MayHaveRun = State->mayHaveRun();
+    for (CallId Id : Ids)
+      MayHaveRun = Host.scheduler().cancel(Id, false, Now) || MayHaveRun;
+    LastReason = State->lastReason();
+    if (Decision == GatherDecision::Answer)
+      finish(State->missingShards() > 0 ? RequestOutcome::Partial
+                                        : RequestOutcome::Complete);
+    else
+      finish(MayHaveRun ? RequestOutcome::Failed : RequestOutcome::Refused);
+  }
+
+  void finish(RequestOutcome Outcome) {
+    auto Kept = std::move(Self);
+    Ended(*this, Outcome);
+  }
+
+  EventQueue &Queue;
+  Random &Rng;
+  HostModel &Host;
+  Route Definition;
+  MonotonicTime AskedAt;
+  EndFunction Ended;
+  GatherTimes Times;
+  std::optional<GatherQuery> State;
+  std::vector<CallId> Ids;
+  MonotonicTime WakeUpAt;
+  CallReason LastReason = CallReason::None;
+  /// Keeps this alive until its end.
+  std::shared_ptr<Query> Self;
+};
+
+Simulation::Simulation(LoadPattern NewPattern)
+    : Pattern(std::move(NewPattern)), Rng(Pattern.Seed) {
+  for (const ServiceModel &Service : Pattern.Services)
+    for (uint32_t I = 1; I <= Service.Servers; ++I)
+      Servers.emplace(serverIdOf(Service.Id, I),
+                      std::make_unique<ServerModel>(Queue, Rng, Service));
+  for (uint32_t I = 0; I < Pattern.Hosts; ++I)
+    Hosts.push_back(
+        std::make_unique<HostModel>(Pattern, I, Queue, Rng, Servers));
+}
+
+Simulation::~Simulation() = default;
+
+const RouteModel &Simulation::route(const RouteId &Id) const {
+  return *std::find_if(
+      Pattern.Routes.begin(), Pattern.Routes.end(),
+      [&](const RouteModel &R) { return R.Definition.Id == Id; });
+}
+
+std::vector<RequestRecord> Simulation::run() {
+  scheduleEvents();
+  startCallers();
+  Queue.runUntil(MonotonicTime(Pattern.Length));
+  return std::move(Records);
+}
+
+void Simulation::startCallers() {
+  for (const CallerModel &Caller : Pattern.Callers) {
+    for (uint32_t I = 0; I < Caller.ClosedLoop; ++I)
+      startClosedLoop(Caller);
+    if (Caller.ClosedLoop == 0)
+      scheduleArrival(Caller);
+  }
+}
+
+void Simulation::startClosedLoop(const CallerModel &Caller) {
+  ask(Caller, Caller.Retries, [this, &Caller] {
+    Queue.add(Queue.now() + Caller.ThinkTime,
+              [this, &Caller] { startClosedLoop(Caller); });
+  });
+}
+
+void Simulation::scheduleArrival(const CallerModel &Caller) {
+  auto Burst = BurstFactors.find(Caller.Route);
+  double Rate =
+      Caller.RatePerSecond * (Burst == BurstFactors.end() ? 1 : Burst->second);
+  double Wait = -std::log(1 - Rng.uniform01()) / Rate;
+  auto Delay =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(Wait));
+  Queue.add(Queue.now() + Delay, [this, &Caller] {
+    ask(Caller, Caller.Retries, [] {});
+    scheduleArrival(Caller);
+  });
+}
+
+void Simulation::ask(const CallerModel &Caller, uint32_t RetriesLeft,
+                     const std::function<void()> &Ended) {
+  HostModel &Host = *Hosts[Rng.below(Hosts.size())];
+  auto OnEnd = [this, &Caller, RetriesLeft, Ended](const Query &Done,
+                                                   RequestOutcome Outcome) {
+    record(Done, Outcome);
+    bool Served = Outcome == RequestOutcome::Complete ||
+                  Outcome == RequestOutcome::Partial;
+    if (Served || RetriesLeft == 0)
+      return Ended();
+    Duration Delay =
+        Outcome == RequestOutcome::Refused ? Done.returnAfter() : RetryDelay;
+    Queue.add(Queue.now() + Delay, [this, &Caller, RetriesLeft, Ended] {
+      ask(Caller, RetriesLeft - 1, Ended);
+    });
+  };
+  std::make_shared<Query>(Queue, Rng, Host, route(Caller.Route), OnEnd)
+      ->start();
+}
+
+void Simulation::record(const Query &Ended, RequestOutcome Outcome) {
+  RequestRecord Record;
+  Record.Route = Ended.route().Id;
+  Record.AskedAt = Ended.askedAt();
+  Record.EndedAt = Queue.now();
+  Record.Outcome = Outcome;
+  Record.Late = Record.latency() > Ended.route().TargetLatency;
+  Records.push_back(std::move(Record));
+}
+
+void Simulation::scheduleEvents() {
+  for (const ModelEvent &Event : Pattern.Events) {
+    Queue.add(Event.At, [this, &Event] { setFault(Event, true); });
+    Queue.add(Event.At + Event.For, [this, &Event] { setFault(Event, false); });
+  }
+}
+
+void Simulation::setFault(const ModelEvent &Event, bool Active) {
+  if (Event.Kind == ModelEventKind::Burst) {
+    BurstFactors[RouteId(Event.Subject)] = Active ? Event.Factor : 1;
+    return;
+  }
+  for (const ServiceModel &Service : Pattern.Services) {
+    if (Service.Group != Event.Subject)
+      continue;
+    uint32_t Affected = Event.Servers == 0
+                            ? Service.Servers
+                            : std::min(Event.Servers, Service.Servers);
+    for (uint32_t I = 1; I <= Affected; ++I)
+      Servers.at(serverIdOf(Service.Id, I))->setFault(Event, Active);
+  }
+}
+
+uint64_t Simulation::arrivals(const ServiceId &Id) const {
+  uint64_t Sum = 0;
+  for (const ServiceModel &Service : Pattern.Services)
+    for (uint32_t I = 1; Service.Id == Id && I <= Service.Servers; ++I)
+      Sum += Servers.at(serverIdOf(Id, I))->arrivals();
+  return Sum;
+}
+
+CallCounters Simulation::counters() const {
+  CallCounters Sum;
+  for (const auto &Host : Hosts) {
+    const CallCounters &Each = Host->scheduler().counters();
+    Sum.Calls += Each.Calls;
+    Sum.Attempts += Each.Attempts;
+    Sum.Hedges += Each.Hedges;
+    Sum.HedgesWon += Each.HedgesWon;
+    Sum.Retries += Each.Retries;
+    Sum.RetryBudgetDenials += Each.RetryBudgetDenials;
+    Sum.OverloadedCalls += Each.OverloadedCalls;
+  }
+  return Sum;
+}
+
+std::vector<WindowSummary> summarize(const std::vector<RequestRecord> &Records,
+                                     Duration Window) {
+  std::map<std::pair<int64_t, RouteId>, WindowSummary> Windows;
+  std::map<std::pair<int64_t, RouteId>, std::vector<Duration>> Latencies;
+  for (const RequestRecord &Record : Records) {
+    int64_t Index = Record.AskedAt.time_since_epoch() / Window;
+    auto Key = std::make_pair(Index, Record.Route);
+    WindowSummary &Out = Windows[Key];
+    Out.Begin = MonotonicTime(Window * Index);
+    Out.Route = Record.Route;
+    ++Out.Asked;
+    bool Served = Record.Outcome == RequestOutcome::Complete ||
+                  Record.Outcome == RequestOutcome::Partial;
+    Out.Complete += Record.Outcome == RequestOutcome::Complete ? 1 : 0;
+    Out.Partial += Record.Outcome == RequestOutcome::Partial ? 1 : 0;
+    Out.Refused += Record.Outcome == RequestOutcome::Refused ? 1 : 0;
+    Out.Failed += Record.Outcome == RequestOutcome::Failed ? 1 : 0;
+    Out.Late += Served && Record.Late ? 1 : 0;
+    if (Served)
+      Latencies[Key].push_back(Record.latency());
+  }
+  std::vector<WindowSummary> Out;
+  for (auto &[Key, Summary] : Windows) {
+    std::vector<Duration> &Sorted = Latencies[Key];
+    std::sort(Sorted.begin(), Sorted.end());
+    Summary.MedianLatency = percentile(Sorted, 0.5);
+    Summary.HighLatency = percentile(Sorted, HighPercentile);
+    Out.push_back(Summary);
+  }
+  return Out;
+}
+
+} // namespace mimosa
--- /dev/null
+++ b/model/simulation.h
@@ -0,0 +1,94 @@
+// Runs a load pattern (load_pattern.h) in virtual time against the decision
+// classes of the entry daemon: each host has its own ServerRegistry and
+// CallScheduler, and each query its own GatherQuery. The backend servers, the
+// network and the callers are models. Equal patterns give equal results.
+//
+//   Simulation Run(Pattern);
+//   for (const RequestRecord &R : Run.run())
+//     ...
+
+#ifndef MIMOSA_MODEL_SIMULATION_H
+#define MIMOSA_MODEL_SIMULATION_H
+
+#include "model/host_model.h"
+#include "model/load_pattern.h"
+
+#include <memory>
+
+namespace mimosa {
+
+enum class RequestOutcome { Complete, Partial, Refused, Failed };
+const char *requestOutcomeName(RequestOutcome Outcome);
+
+/// The end of one request of a caller; a retry is a request of its own.
+struct RequestRecord {
+  RouteId Route;
+  MonotonicTime AskedAt;
+  MonotonicTime EndedAt;
+  RequestOutcome Outcome = RequestOutcome::Failed;
+  /// Ended after the target latency of its route.
+  bool Late = false;
+
+  Duration latency() const { return EndedAt - AskedAt; }
+};
+
+/// Counts over the requests of one route that began within one window.
+struct WindowSummary {
+  MonotonicTime Begin;
+  RouteId Route;
+  uint64_t Asked = 0;
+  uint64_t Complete = 0;
+  uint64_t Partial = 0;
+  /// Of the complete and partial ones.
+  uint64_t Late = 0;
+  uint64_t Refused = 0;
+  uint64_t Failed = 0;
+  /// Of the complete and partial ones; 0 if there are none.
+  Duration MedianLatency{0};
+  Duration HighLatency{0};
+};
+
+/// Summaries in order of time, then route. \p HighLatency is the 99th
+/// percentile.
+std::vector<WindowSummary> summarize(const std::vector<RequestRecord> &Records,
+                                     Duration Window);
+
+class Simulation {
+public:
+  explicit Simulation(LoadPattern Pattern);
+  ~Simulation();
+
+  /// Runs the pattern to its end; must be called once.
+  std::vector<RequestRecord> run();
+
+  /// Requests that arrived at the backend servers of the service \p Id.
+  uint64_t arrivals(const ServiceId &Id) const;
+  /// Sum of the counters of all hosts.
+  CallCounters counters() const;
+
+private:
+  class Query;
+
+  void startCallers();
+  void startClosedLoop(const CallerModel &Caller);
+  void scheduleArrival(const CallerModel &Caller);
+  void scheduleEvents();
+  void setFault(const ModelEvent &Event, bool Active);
+  /// Sends a request to a random host; calls \p Ended at its end.
+  void ask(const CallerModel &Caller, uint32_t RetriesLeft,
+           const std::function<void()> &Ended);
+  void record(const Query &Ended, RequestOutcome Outcome);
+  const RouteModel &route(const RouteId &Id) const;
+
+  LoadPattern Pattern;
+  SeededRandom Rng;
+  EventQueue Queue;
+  ServerModels Servers;
+  std::vector<std::unique_ptr<HostModel>> Hosts;
+  std::unordered_map<RouteId, double> BurstFactors;
+  std::vector<RequestRecord> Records;
+};
+
+} // namespace mimosa
+
+#endif // MIMOSA_MODEL_SIMULATION_H
