Bound what a backend server in trouble can cost a host

Cause: an answer without an id was taken for the answer to the current request, also on a connection in use again; the number of heads before an answer had no bound; a body had 16 MiB on each connection.

Change: an answer without an id is accepted only as the first one on its connection, which is not used again; requests without an id get a new connection; 8 unexpected heads or answers, then the connection is closed as malformed; a shard result has a limit by what was asked for (256 KiB or 64 times the records); a ReceiveBudget over all connections (1/16 of the new setting memory-mb) bounds longer bodies; two malformed answers in a row eject a backend server like two lost ones.

--- a/balance/backend_server.cpp
+++ b/balance/backend_server.cpp
@@ -111,7 +111,8 @@
     Replaced = true;
   FailureRate = failureRate(Now) + FailureWeight * (1 - failureRate(Now));
   FailureRateAt = Now;
-  if (Failure != BackendFailure::NoAnswer)
+  if (Failure != BackendFailure::NoAnswer &&
+      Failure != BackendFailure::Malformed)
     return;
   ++ConsecutiveFailures;
   if (!ejected())
--- a/balance/backend_server.h
+++ b/balance/backend_server.h
@@ -12,11 +12,11 @@
 // average. Without samples it decays to 1, because a backend server that looks
 // slow gets no requests that could correct the average.
 //
-// Consecutive requests without an answer (BackendFailure::NoAnswer) eject a
-// backend server for a time that doubles with each further one, up to a limit
-// (compare outlier detection in Envoy). Meanwhile it is used only if there is
-// no other one. Afterwards it gets one trial request at a time until one
-// succeeds.
+// Consecutive requests without a valid answer (BackendFailure::NoAnswer and
+// Malformed) eject a backend server for a time that doubles with each further
+// one, up to a limit (compare outlier detection in Envoy). Meanwhile it is used
+// only if there is no other one. Afterwards it gets one trial request at a time
+// until one succeeds.
 
 #ifndef MIMOSA_BALANCE_BACKEND_SERVER_H
 #define MIMOSA_BALANCE_BACKEND_SERVER_H
@@ -54,8 +54,10 @@
   NoAnswer,
   /// It refused the request because it is overloaded.
   Shed,
-  /// It answered with a failure, or with bytes that are not a valid answer.
+  /// It answered with a failure.
   BadAnswer,
+  /// It sent bytes that are not a valid answer.
+  Malformed,
   /// Another backend server has taken over its address.
   Replaced,
 };
--- a/balance/call.h
+++ b/balance/call.h
@@ -31,6 +31,8 @@
   /// answered by then ends, so that others are answered in time. At most
   /// Deadline.
   MonotonicTime UsefulUntil;
+  /// An answer with a longer body is not valid.
+  size_t MaxAnswerBytes = 16 << 20;
   std::shared_ptr<const CallerRequest> Message;
 };
 
--- a/balance/call_scheduler.cpp
+++ b/balance/call_scheduler.cpp
@@ -319,7 +319,7 @@
   AttemptState Attempt;
   auto It = closeAttempt(Found, Attempt);
   Attempt.Server->recordFailure(
-      Malformed ? BackendFailure::BadAnswer : BackendFailure::NoAnswer, Now);
+      Malformed ? BackendFailure::Malformed : BackendFailure::NoAnswer, Now);
   ServiceId Service = Attempt.Server->entry().Service;
   if (It != Calls.end()) {
     It->second.LostAttempts += Malformed ? 0 : 1;
--- a/entry/backend_connection_pool.cpp
+++ b/entry/backend_connection_pool.cpp
@@ -1,6 +1,5 @@
 #include "entry/backend_connection_pool.h"
 
-#include "platform/backend_wire.h"
 #include "platform/caller_wire.h"
 #include "runtime/log.h"
 
@@ -55,7 +54,7 @@
 HttpChannel *
 BackendConnectionPool::openConnection(const BackendServerPtr &Server) {
   closeIdleAtLimit(Server);
-  auto Opened = HttpChannel::open(Loop, Server->entry().Address, *this);
+  auto Opened = HttpChannel::open(Loop, Server->entry().Address, *this, Budget);
   if (!ok(Opened)) {
     logWarn("backend", "event=bad_address server=" + Server->entry().Id.text() +
                            " reason=\"" + errorOf(Opened).Message + "\"");
@@ -73,7 +72,10 @@
 void BackendConnectionPool::send(AttemptId Id, const BackendServerPtr &Server,
                                  const CallRequest &Request, Duration TimeLeft,
                                  bool FreshConnection) {
-  HttpChannel *Channel = takeIdle(Server, FreshConnection);
+  // The answer to a request without an id can only be the first one on its
+  // connection.
+  bool HasId = !Request.Message->Id.empty();
+  HttpChannel *Channel = HasId ? takeIdle(Server, FreshConnection) : nullptr;
   if (!Channel)
     Channel = openConnection(Server);
   if (!Channel) {
@@ -85,10 +87,11 @@
   C.Attempt = Id;
   C.RequestId = Request.Message->Id;
   C.Busy = true;
+  ++C.Exchanges;
   ActiveChannels[Id] = Channel;
   Channel->exchange(
       encodeBackendRequest(*Request.Message, TimeLeft, Server->entry().Id),
-      Request.Message->IsHeadRequest);
+      Request.Message->IsHeadRequest, Request.MaxAnswerBytes);
 }
 
 void BackendConnectionPool::cancel(AttemptId Id) {
@@ -122,14 +125,21 @@
   removeConnection(Channel);
 }
 
+bool BackendConnectionPool::mayBeStray(const Connection &C,
+                                       const DecodedBackendAnswer &Decoded) {
+  using IdState = DecodedBackendAnswer::IdState;
+  return Decoded.Id == IdState::Differs ||
+         (Decoded.Id == IdState::Missing && C.Exchanges > 1);
+}
+
 bool BackendConnectionPool::onResponse(HttpChannel &Channel,
                                        ReceivedHttpResponse Response,
                                        bool Reusable) {
   Connection &C = Connections.at(&Channel);
   DecodedBackendAnswer Decoded =
       decodeBackendAnswer(std::move(Response), C.RequestId);
-  if (Decoded.IdMismatch) {
-    ++Counters.MismatchedAnswers;
+  if (mayBeStray(C, Decoded)) {
+    ++Counters.StrayAnswers;
     logRequest("backend", "event=stray_answer request=" + C.RequestId.text() +
                               " server=" + C.Server->entry().Id.text());
     return false;
@@ -142,6 +152,10 @@
                    " sequence=" + std::to_string(C.Server->entry().Sequence));
   AttemptId Id = C.Attempt;
   ActiveChannels.erase(Id);
+  if (Decoded.Id == DecodedBackendAnswer::IdState::Missing) {
+    ++Counters.AnswersWithoutId;
+    Reusable = false;
+  }
   if (Reusable) {
     C.Busy = false;
     C.IdleSince = Loop.now();
@@ -163,6 +177,12 @@
     return;
   bool Busy = Found->second.Busy;
   AttemptId Id = Found->second.Attempt;
+  if (Reason == ChannelCloseReason::Malformed) {
+    ++Counters.MalformedAnswers;
+    logRequest("backend", "event=malformed_answer request=" +
+                              Found->second.RequestId.text() + " server=" +
+                              Found->second.Server->entry().Id.text());
+  }
   removeConnection(&Channel);
   if (!Busy)
     return;
--- a/entry/backend_connection_pool.h
+++ b/entry/backend_connection_pool.h
@@ -6,11 +6,17 @@
 //   Pool.setScheduler(Scheduler);
 //   ...
 //   Pool.closeExpired();   // about once a second
+//
+// A backend server in trouble may send a second copy of an answer late, when
+// the connection is in use again. The id that it echoes tells the copy from the
+// answer. Without an id, only the first answer on a connection can be trusted,
+// and the connection is not used again after it.
 
 #ifndef MIMOSA_ENTRY_BACKEND_CONNECTION_POOL_H
 #define MIMOSA_ENTRY_BACKEND_CONNECTION_POOL_H
 
 #include "balance/call_scheduler.h"
+#include "platform/backend_wire.h"
 #include "runtime/http_channel.h"
 
 namespace mimosa {
@@ -19,15 +25,22 @@
   uint64_t Opened = 0;
   uint64_t Reused = 0;
   uint64_t ClosedIdle = 0;
-  /// Answers that were dropped because they belonged to other requests.
-  uint64_t MismatchedAnswers = 0;
+  /// Answers that were dropped because they belonged to other requests, or
+  /// could do so.
+  uint64_t StrayAnswers = 0;
+  /// Answers without an id that were accepted.
+  uint64_t AnswersWithoutId = 0;
+  /// Connections closed because of bytes that are no valid answer.
+  uint64_t MalformedAnswers = 0;
 };
 
 class BackendConnectionPool : public BackendTransport,
                               private HttpChannelEvents {
 public:
-  BackendConnectionPool(FiberLoop &Loop, ServerRegistry &Registry)
-      : Loop(Loop), Registry(Registry) {}
+  /// \p Budget limits the memory for answers that are being received.
+  BackendConnectionPool(FiberLoop &Loop, ServerRegistry &Registry,
+                        ReceiveBudget &Budget)
+      : Loop(Loop), Registry(Registry), Budget(Budget) {}
 
   /// Must be called once before the first send(). \p NewScheduler must outlive
   /// this object.
@@ -52,6 +65,7 @@
     BackendServerPtr Server;
     AttemptId Attempt;
     CallerRequestId RequestId;
+    uint64_t Exchanges = 0;
     bool Busy = false;
     MonotonicTime IdleSince;
     Duration KeepAliveTimeout{0};
@@ -62,6 +76,9 @@
                   bool Reusable) override;
   void onClosed(HttpChannel &Channel, ChannelCloseReason Reason) override;
 
+  /// Whether an answer on \p C may belong to an earlier request.
+  static bool mayBeStray(const Connection &C,
+                         const DecodedBackendAnswer &Decoded);
   HttpChannel *takeIdle(const BackendServerPtr &Server, bool FreshOnly);
   HttpChannel *openConnection(const BackendServerPtr &Server);
   /// Closes idle connections until one more fits within the connection limit.
@@ -73,6 +90,7 @@
 
   FiberLoop &Loop;
   ServerRegistry &Registry;
+  ReceiveBudget &Budget;
   CallScheduler *Scheduler = nullptr;
   ConnectionPoolCounters Counters;
   std::unordered_map<HttpChannel *, Connection> Connections;
--- /dev/null
+++ b/entry/backend_connection_pool_test.cpp
@@ -0,0 +1,266 @@
+// Backend servers in trouble send bytes that belong to no request, or that are
+// no answer, some without end. One of the two backend servers of each service
+// does so. No caller may get another request's answer, wait beyond the
+// deadline, or pay for it with the host's memory and processor time.
+
+#include "entry/backend_connection_pool.h"
+#include "entry/hostile_server_test_util.h"
+#include "runtime/child_process_test_util.h"
+
+#include <gtest/gtest.h>
+
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <optional>
+
+namespace mimosa {
+namespace {
+
+constexpr Duration Deadline = Milliseconds(800);
+/// Delay of timers on a busy machine.
+constexpr Duration TimerMargin = Milliseconds(100);
+constexpr int Workers = 8;
+constexpr int CallsPerWorker = 100;
+/// Pause of a worker between two calls.
+constexpr Duration ThinkTime = Milliseconds(5);
+
+bool answerWell(const HostileExchange &Exchange) {
+  return writeBytes(Exchange, answerTo(Exchange.Id));
+}
+
+struct LoadFigures {
+  int Served = 0;
+  int Wrong = 0;
+  Duration LongestWait{0};
+  Duration ProcessorTime{0};
+  int64_t MemoryGrowthKb = 0;
+};
+
+class CallWaiter : public CallObserver {
+public:
+  void callEnded(CallId, CallResult NewResult) override {
+    Result = std::move(NewResult);
+    Ended.set();
+  }
+  std::optional<CallResult> Result;
+  FiberEvent Ended;
+};
+
+/// Services of two backend servers each, of which one is bad.
+class HostileLoad {
+public:
+  HostileLoad(FiberLoop &Loop, int Services, const HostileServer::Script &Bad)
+      : Loop(Loop), Rng(7), Registry(AvailabilityZoneId("z1"), Rng),
+        Pool(Loop, Registry, Budget), Scheduler(Registry, Pool) {
+    Pool.setScheduler(Scheduler);
+    // The test is about connections, not about the retry budget.
+    Scheduler.setRetryBudget({1, 1000, Seconds(10)});
+    Scheduler.onEarlierWakeUp([this] { TimerChanged.set(); });
+    Loop.spawn([this] { runTimers(); });
+    for (int I = 0; I < Services; ++I) {
+      ServiceIds.push_back(ServiceId("s" + std::to_string(I)));
+      Registry.setLimits(ServiceIds.back(), 64, 0);
+      addServer(ServiceIds.back(), "good", HostileServer(answerWell));
+      addServer(ServiceIds.back(), "bad", HostileServer(Bad));
+    }
+  }
+
+  /// Limit on the body of an answer.
+  size_t MaxAnswerBytes = 64 * 1024;
+
+  LoadFigures run() {
+    rusage Before{};
+    getrusage(RUSAGE_THREAD, &Before);
+    int Running = Workers;
+    FiberEvent Finished;
+    for (int W = 0; W < Workers; ++W)
+      Loop.spawn([this, W, &Running, &Finished] {
+        for (int I = 0; I < CallsPerWorker; ++I) {
+          runCall(W, I);
+          FiberLoop::sleepFor(ThinkTime);
+        }
+        if (--Running == 0)
+          Finished.set();
+      });
+    Finished.wait();
+    rusage After{};
+    getrusage(RUSAGE_THREAD, &After);
+    Figures.MemoryGrowthKb = After.ru_maxrss - Before.ru_maxrss;
+    Figures.ProcessorTime = processorTime(After) - processorTime(Before);
+    return Figures;
+  }
+
+private:
+  static Duration processorTime(const rusage &Used) {
+    return Seconds(Used.ru_utime.tv_sec + Used.ru_stime.tv_sec) +
+           Duration(Used.ru_utime.tv_usec + Used.ru_stime.tv_usec);
+  }
+
+  void addServer(const ServiceId &Service, const std::string &Name,
+                 const HostileServer &Server) {
+    BackendServerEntry Entry;
+    Entry.Id = BackendServerId(Service.text() + Name);
+    Entry.Service = Service;
+    Entry.Address = Server.address();
+    Entry.Zone = AvailabilityZoneId("z1");
+    Entry.Slots = 4;
+    Registry.update(Entry, Loop.now());
+  }
+
+  void runTimers() {
+    while (true) {
+      MonotonicTime At = Scheduler.nextWakeUp();
+      TimerChanged.clear();
+      if (At == MonotonicTime::max())
+        TimerChanged.wait();
+      else
+        TimerChanged.waitUntil(At);
+      Scheduler.onTimer(Loop.now());
+    }
+  }
+
+  void runCall(int Worker, int Index) {
+    auto Message = std::make_shared<CallerRequest>();
+    std::string Id = std::to_string(Worker) + "-" + std::to_string(Index);
+    Message->Id = CallerRequestId(Id);
+    Message->Head = "GET /q HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + Id + "\r\n";
+    CallRequest Request;
+    Request.Service =
+        ServiceIds[static_cast<size_t>(Worker + Index) % ServiceIds.size()];
+    Request.Route = RouteId("search");
+    Request.Idempotent = true;
+    Request.MaxAttempts = 2;
+    Request.TargetLatency = Milliseconds(150);
+    Request.Deadline = Loop.now() + Deadline;
+    Request.UsefulUntil = Request.Deadline;
+    Request.MaxAnswerBytes = MaxAnswerBytes;
+    Request.Message = Message;
+    MonotonicTime Begin = Loop.now();
+    CallWaiter Waiter;
+    Scheduler.begin(std::move(Request), Waiter, Begin);
+    Waiter.Ended.wait();
+    Figures.LongestWait =
+        std::max<Duration>(Figures.LongestWait, Loop.now() - Begin);
+    if (Waiter.Result->Outcome != CallOutcome::Answered ||
+        !Waiter.Result->Answer.success())
+      return;
+    ++Figures.Served;
+    Figures.Wrong += Waiter.Result->Answer.Body == answerBodyFor(Id) ? 0 : 1;
+  }
+
+  FiberLoop &Loop;
+  SeededRandom Rng;
+  ServerRegistry Registry;
+  ReceiveBudget Budget{10 << 20};
+  BackendConnectionPool Pool;
+  CallScheduler Scheduler;
+  FiberEvent TimerChanged;
+  std::vector<ServiceId> ServiceIds;
+  LoadFigures Figures;
+};
+
+struct HostileCase {
+  const char *Name;
+  HostileServer::Script Bad;
+};
+
+const HostileCase HostileCases[] = {
+    {"late copy with its id",
+     [](const HostileExchange &E) {
+       return (E.PreviousId.empty() || writeBytes(E, answerTo(E.PreviousId))) &&
+              answerWell(E);
+     }},
+    {"late copy without an id",
+     [](const HostileExchange &E) {
+       return (E.PreviousId.empty() ||
+               writeBytes(E, answerTo(E.PreviousId, false))) &&
+              answerWell(E);
+     }},
+    {"answers without an id, and a late copy of each",
+     [](const HostileExchange &E) {
+       return (E.PreviousId.empty() ||
+               writeBytes(E, answerTo(E.PreviousId, false))) &&
+              writeBytes(E, answerTo(E.Id, false));
+     }},
+    {"informational heads without end",
+     [](const HostileExchange &E) {
+       return writeWithoutEnd(E, "HTTP/1.1 102 Processing\r\n\r\n");
+     }},
+    {"stray empty answers without end",
+     [](const HostileExchange &E) {
+       return writeWithoutEnd(E, "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\n"
+                                 "Content-Length: 0\r\n\r\n");
+     }},
+    {"a chunked body without end",
+     [](const HostileExchange &E) {
+       return writeBytes(E, "HTTP/1.1 200 OK\r\nAttempt-Id: " + E.Id +
+                                "\r\nTransfer-Encoding: chunked\r\n\r\n") &&
+              writeWithoutEnd(E, "400\r\n" + std::string(1024, 'x') + "\r\n");
+     }},
+    {"a body without length and without end",
+     [](const HostileExchange &E) {
+       return writeBytes(E, "HTTP/1.1 200 OK\r\nAttempt-Id: " + E.Id +
+                                "\r\n\r\n") &&
+              writeWithoutEnd(E, std::string(1024, 'x'));
+     }},
+    {"a head line without end",
+     [](const HostileExchange &E) {
+       return writeBytes(E, "HTTP/1.1 200 OK\r\nX: ") &&
+              writeWithoutEnd(E, std::string(1024, 'x'));
+     }},
+    {"header lines without end",
+     [](const HostileExchange &E) {
+       return writeBytes(E, "HTTP/1.1 200 OK\r\n") &&
+              writeWithoutEnd(E, "X-Filler: yes\r\n");
+     }},
+    {"bytes that are no answer, without end",
+     [](const HostileExchange &E) {
+       return writeWithoutEnd(E, std::string(1024, '\x07'));
+     }},
+};
+
+constexpr double MinServedShare = 0.99;
+constexpr int64_t MaxMemoryGrowthKb = 40 * 1024;
+constexpr int MaxProcessorTimeRatio = 2;
+
+TEST(BackendConnectionPoolTest, HostileServersHarmNoCaller) {
+  for (const HostileCase &Case : HostileCases) {
+    SCOPED_TRACE(Case.Name);
+    runInChildProcess([&](FiberLoop &Loop) {
+      HostileLoad SoundLoad(Loop, 1, answerWell);
+      LoadFigures Sound = SoundLoad.run();
+      HostileLoad Load(Loop, 1, Case.Bad);
+      LoadFigures Figures = Load.run();
+      EXPECT_EQ(Figures.Wrong, 0);
+      EXPECT_GE(Figures.Served, MinServedShare * Workers * CallsPerWorker);
+      EXPECT_LE(Figures.LongestWait, Deadline + TimerMargin);
+      EXPECT_LE(Figures.MemoryGrowthKb, MaxMemoryGrowthKb);
+      EXPECT_LE(Figures.ProcessorTime,
+                MaxProcessorTimeRatio * Sound.ProcessorTime);
+    });
+  }
+}
+
+// Answers of single backend servers may be long, so that only the budget of the
+// process bounds their memory.
+TEST(BackendConnectionPoolTest, ManyEndlessBodiesStayWithinTheBudget) {
+  constexpr int Services = 64;
+  constexpr int64_t MaxGrowthKb = 100 * 1024;
+  for (const HostileCase &Case : HostileCases) {
+    if (std::string(Case.Name).find("body") == std::string::npos)
+      continue;
+    SCOPED_TRACE(Case.Name);
+    runInChildProcess([&](FiberLoop &Loop) {
+      HostileLoad Load(Loop, Services, Case.Bad);
+      Load.MaxAnswerBytes = CallRequest().MaxAnswerBytes;
+      LoadFigures Figures = Load.run();
+      EXPECT_EQ(Figures.Wrong, 0);
+      EXPECT_GE(Figures.Served, MinServedShare * Workers * CallsPerWorker);
+      EXPECT_LE(Figures.MemoryGrowthKb, MaxGrowthKb);
+    });
+  }
+}
+
+} // namespace
+} // namespace mimosa
--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -26,6 +26,9 @@
 /// have the addresses of further hosts.
 constexpr double BusyAboveShare = 0.5;
 constexpr double BusyUntilShare = 0.2;
+/// Part of the memory for long answers that are being received. A string that
+/// grows holds up to three times its length for a moment.
+constexpr size_t AnswerMemoryDivisor = 16;
 /// Connections stay open this much longer than the idle timeout in the
 /// configuration, so that requests sent right after a change of that timeout do
 /// not reach a closed connection.
@@ -67,7 +70,9 @@
       Rng(Seed), Self{Options.HostName, Options.CallerAddress,
                       Options.PeerAddress, Options.Zone,
                       Options.CoreShare * Options.CoreSpeed},
-      Registry(Options.Zone, Rng), ConnectionPool(Loop, Registry),
+      Registry(Options.Zone, Rng),
+      AnswerBudget(Options.MemoryBytes / AnswerMemoryDivisor),
+      ConnectionPool(Loop, Registry, AnswerBudget),
       Scheduler(Registry, ConnectionPool),
       Crashes(Options.PeerAddress, Incarnation(Seed)),
       Service(Loop, Registry, Scheduler, Crashes, Metrics, Rng),
@@ -106,6 +111,14 @@
     });
   Gauge("mimosa_backend_connections_opened_total",
         [](Node &N) { return N.ConnectionPool.counters().Opened; });
+  Gauge("mimosa_backend_stray_answers_total",
+        [](Node &N) { return N.ConnectionPool.counters().StrayAnswers; });
+  Gauge("mimosa_backend_answers_without_id_total",
+        [](Node &N) { return N.ConnectionPool.counters().AnswersWithoutId; });
+  Gauge("mimosa_backend_malformed_answers_total",
+        [](Node &N) { return N.ConnectionPool.counters().MalformedAnswers; });
+  Gauge("mimosa_answer_memory_bytes",
+        [](Node &N) { return N.AnswerBudget.usedBytes(); });
   Gauge("mimosa_backend_connections",
         [](Node &N) { return N.ConnectionPool.openConnections(); });
   Gauge("mimosa_backend_servers", [](Node &N) { return N.Registry.size(); });
--- a/entry/entry_node.h
+++ b/entry/entry_node.h
@@ -76,6 +76,7 @@
   EntryHost Self;
   MetricsRegistry Metrics;
   ServerRegistry Registry;
+  ReceiveBudget AnswerBudget;
   BackendConnectionPool ConnectionPool;
   CallScheduler Scheduler;
   CrashWatch Crashes;
--- a/entry/entry_options.cpp
+++ b/entry/entry_options.cpp
@@ -24,6 +24,7 @@
   int64_t LongestLifetimeS = 5;
   double StopLimitS = inSeconds(Values.StopLimit);
   int64_t WindowMs = inMilliseconds(Values.RetryBudget.Window);
+  int64_t MemoryMb = static_cast<int64_t>(Values.MemoryBytes >> 20);
   int64_t Descriptors = static_cast<int64_t>(Values.MaxDescriptors);
   Settings Parser{"mimosa-entry", "entry daemon of mimosawall, with its "
                                   "routes in the platform's store"};
@@ -69,6 +70,8 @@
                  0.5, 600);
   Parser.number("max-descriptors", "limit of open sockets and files",
                 &Descriptors, 300, 10000000);
+  Parser.number("memory-mb", "limit of the memory of this process", &MemoryMb,
+                32, 1 << 20);
   Parser.decimal("core-share", "number of cores that may be used",
                  &Values.CoreShare, 0.001, 1024);
   Parser.decimal("core-speed", "speed of a core, 1 for the usual one",
@@ -85,6 +88,7 @@
   Options.AddressLifetime =
       Seconds(std::min(AddressLifetimeS, LongestLifetimeS));
   Options.StopLimit = Duration(static_cast<int64_t>(StopLimitS * 1e6));
+  Options.MemoryBytes = static_cast<size_t>(MemoryMb) << 20;
   Options.MaxDescriptors = static_cast<size_t>(Descriptors);
   return Options;
 }
--- a/entry/entry_options.h
+++ b/entry/entry_options.h
@@ -38,6 +38,8 @@
   /// Longest time from a termination signal to the end of the process.
   Duration StopLimit = Milliseconds(6000);
   size_t MaxDescriptors = 4096;
+  /// Memory that the process may use.
+  size_t MemoryBytes = 256 << 20;
   /// Number of cores that the process may use, which may be a fraction, and the
   /// speed of a core relative to the usual one.
   double CoreShare = 1;
--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -76,6 +76,8 @@
   Out.Deadline = Context.Times.Deadline;
   Out.UsefulUntil = Context.MatchedRoute.isGather() ? Context.Times.PartialFrom
                                                     : Context.Times.Deadline;
+  if (Context.MatchedRoute.isGather())
+    Out.MaxAnswerBytes = maxShardResultBytes(Context.MatchedRoute);
   Out.Message = Context.Request;
   return Out;
 }
--- a/gather/gather_query.cpp
+++ b/gather/gather_query.cpp
@@ -11,6 +11,10 @@
 constexpr Duration PartialMargin = Milliseconds(14);
 /// A partial answer is not given before this share of the target latency.
 constexpr double MinPartialShare = 0.8;
+/// Records of a shard result for each record that is asked for.
+constexpr size_t MaxRecordsPerResult = 64;
+/// Always allowed for a shard result.
+constexpr size_t MinShardResultLimit = 256 * 1024;
 } // namespace
 
 GatherTimes gatherTimes(const Route &R, MonotonicTime ArrivedAt,
@@ -31,6 +35,11 @@
   return R.Shards.size() - Unavailable >= R.minShardResults();
 }
 
+size_t maxShardResultBytes(const Route &R) {
+  return std::max(MinShardResultLimit,
+                  MaxRecordsPerResult * R.TopK * RecordBytes);
+}
+
 GatherQuery::GatherQuery(const Route &R, GatherTimes Times)
     : TotalShards(R.Shards.size()), MinResults(R.minShardResults()),
       Times(Times), Merged(R.TopK) {
--- a/gather/gather_query.h
+++ b/gather/gather_query.h
@@ -41,6 +41,10 @@
 bool coverageReachable(const Route &R, const ServerRegistry &Registry,
                        MonotonicTime Now);
 
+/// Limit on the body of one shard's result. A backend server may send more
+/// records than \p R asks for.
+size_t maxShardResultBytes(const Route &R);
+
 enum class GatherDecision { Wait, Answer, Fail };
 
 class GatherQuery {
--- a/runtime/http_channel.cpp
+++ b/runtime/http_channel.cpp
@@ -16,14 +16,19 @@
 namespace {
 
 constexpr size_t ReadBytes = 16 * 1024;
+/// Informational heads and responses to other requests that may precede the
+/// response. Servers send an informational head or two, and one late copy.
+constexpr uint32_t MaxUnexpectedResponses = 8;
 
 class Channel final : public HttpChannel {
 public:
-  Channel(asio::io_context &Io, HttpChannelEvents &Events)
-      : Socket(Io), Events(Events) {}
+  Channel(asio::io_context &Io, HttpChannelEvents &Events,
+          ReceiveBudget &Budget)
+      : Socket(Io), Events(Events), BodyShare(Budget) {}
 
   void connect(const tcp::endpoint &Endpoint);
-  void exchange(std::string NewRequest, bool IsHead) override;
+  void exchange(std::string NewRequest, bool IsHead,
+                size_t NewMaxBodyBytes) override;
   void close() override;
 
 private:
@@ -42,6 +47,10 @@
   /// Parses buffered bytes and delivers a response that is complete. Returns
   /// whether parsing can go on.
   bool parseBuffered(error_code &Failure);
+  /// Prepares for the next response after one that was not expected. Returns
+  /// whether another one may follow.
+  bool skipUnexpected(error_code &Failure);
+  /// Passes the response on. Returns false if it belongs to another request.
   bool deliverResponse();
   void closeWith(ChannelCloseReason Reason);
 
@@ -51,6 +60,10 @@
   std::optional<ResponseParser> Parser;
   std::string Request;
   size_t Written = 0;
+  size_t MaxBodyBytes = 0;
+  /// For the body of the response that is being received.
+  ReceiveBudget::Share BodyShare;
+  uint32_t UnexpectedResponses = 0;
   bool Connected = false;
   bool Closed = false;
   bool Busy = false;
@@ -87,14 +100,18 @@
 
 void Channel::resetParser() {
   Parser.emplace();
-  Parser->body_limit(MaxResponseBytes);
+  BodyShare.reset();
+  Parser->body_limit(MaxBodyBytes);
   Parser->eager(true);
   Parser->skip(IsHeadRequest);
 }
 
-void Channel::exchange(std::string NewRequest, bool IsHead) {
+void Channel::exchange(std::string NewRequest, bool IsHead,
+                       size_t NewMaxBodyBytes) {
   Request = std::move(NewRequest);
   Written = 0;
+  MaxBodyBytes = NewMaxBodyBytes;
+  UnexpectedResponses = 0;
   Busy = true;
   IsHeadRequest = IsHead;
   resetParser();
@@ -182,14 +199,28 @@
     Failure = {};
     return false;
   }
+  if (!Failure && !BodyShare.resize(Parser->get().body().size()))
+    Failure = http::error::body_limit;
   if (Failure || !Parser->is_done())
     return false;
   if (http::to_status_class(Parser->get().result_int()) ==
-      http::status_class::informational) {
-    resetParser();
-    return true;
+      http::status_class::informational)
+    return skipUnexpected(Failure);
+  bool Reusable = Parser->keep_alive();
+  if (deliverResponse())
+    return false;
+  if (!Reusable)
+    Failure = http::error::end_of_stream;
+  return Reusable && skipUnexpected(Failure);
+}
+
+bool Channel::skipUnexpected(error_code &Failure) {
+  if (++UnexpectedResponses > MaxUnexpectedResponses) {
+    Failure = http::error::bad_status;
+    return false;
   }
-  return deliverResponse();
+  resetParser();
+  return true;
 }
 
 bool Channel::deliverResponse() {
@@ -205,13 +236,12 @@
   bool InputEmpty = Buffer.size() == 0;
   Busy = false;
   auto Self = self();
-  if (Events.onResponse(*this, std::move(Response), Reusable && InputEmpty))
-    return false;
-  if (Closed)
-    return false;
+  BodyShare.reset();
+  if (Events.onResponse(*this, std::move(Response), Reusable && InputEmpty) ||
+      Closed)
+    return true;
   Busy = true;
-  resetParser();
-  return Reusable;
+  return false;
 }
 
 void Channel::closeWith(ChannelCloseReason Reason) {
@@ -236,11 +266,11 @@
 
 Result<std::shared_ptr<HttpChannel>>
 HttpChannel::open(FiberLoop &Loop, const std::string &Address,
-                  HttpChannelEvents &Events) {
+                  HttpChannelEvents &Events, ReceiveBudget &Budget) {
   Result<tcp::endpoint> Endpoint = parseEndpoint(Address);
   if (!ok(Endpoint))
     return errorOf(Endpoint);
-  auto New = std::make_shared<Channel>(Loop.impl().Io, Events);
+  auto New = std::make_shared<Channel>(Loop.impl().Io, Events, Budget);
   New->connect(valueOf(Endpoint));
   return std::static_pointer_cast<HttpChannel>(New);
 }
--- a/runtime/http_channel.h
+++ b/runtime/http_channel.h
@@ -2,16 +2,21 @@
 // with many requests in flight. A request is passed as encoded bytes; a channel
 // runs one at a time.
 //
-//   auto Channel = HttpChannel::open(Loop, "10.0.0.1:9001", Events);
-//   Channel->exchange(Bytes, false);
+//   auto Channel = HttpChannel::open(Loop, Address, Events, Budget);
+//   Channel->exchange(Bytes, false, MaxBodyBytes);
 //
 // A channel waits for its socket to become readable before each read, so that
 // an exchange usually takes one write, one wait and one read.
+//
+// A server in trouble may send bytes without end. A channel is closed as
+// malformed after a bounded number of heads that do not begin the response, and
+// when a body exceeds the limit of its exchange or the receive budget.
 
 #ifndef MIMOSA_RUNTIME_HTTP_CHANNEL_H
 #define MIMOSA_RUNTIME_HTTP_CHANNEL_H
 
 #include "runtime/http.h"
+#include "runtime/receive_budget.h"
 
 namespace mimosa {
 
@@ -43,7 +48,7 @@
   /// Called with each complete response. \p Reusable says whether the
   /// connection can be used for another request. Returns false if the response
   /// does not belong to the current request; it is then dropped, and the
-  /// channel waits for the next one.
+  /// channel waits for the next one, a few times.
   virtual bool onResponse(HttpChannel &Channel, ReceivedHttpResponse Response,
                           bool Reusable) = 0;
   /// Called when the server or an error has closed the connection, but not
@@ -53,16 +58,21 @@
 
 class HttpChannel : public std::enable_shared_from_this<HttpChannel> {
 public:
-  /// Starts to connect. \p Events must live until the channel is closed. Fails
-  /// with BadSetting if \p Address is malformed.
-  static Result<std::shared_ptr<HttpChannel>>
-  open(FiberLoop &Loop, const std::string &Address, HttpChannelEvents &Events);
+  /// Starts to connect. \p Events must live until the channel is closed, and
+  /// \p Budget until it is destroyed. Fails with BadSetting if \p Address is
+  /// malformed.
+  static Result<std::shared_ptr<HttpChannel>> open(FiberLoop &Loop,
+                                                   const std::string &Address,
+                                                   HttpChannelEvents &Events,
+                                                   ReceiveBudget &Budget);
   virtual ~HttpChannel();
 
   /// Sends \p Request as soon as the connection is established. No other
-  /// request may be running. Events are reported only after exchange() has
-  /// returned.
-  virtual void exchange(std::string Request, bool IsHeadRequest) = 0;
+  /// request may be running. A response with a body of more than
+  /// \p MaxBodyBytes is malformed. Events are reported only after exchange()
+  /// has returned.
+  virtual void exchange(std::string Request, bool IsHeadRequest,
+                        size_t MaxBodyBytes) = 0;
   /// Closes the connection; no event is reported.
   virtual void close() = 0;
 };
