Close a connection after a failure without an id

A success without an id is still dropped, since the answer follows it; after a failure without one the connection is closed and the attempt ends as lost.

--- a/entry/backend_connection_pool.cpp
+++ b/entry/backend_connection_pool.cpp
@@ -125,11 +125,9 @@
   removeConnection(Channel);
 }
 
-bool BackendConnectionPool::mayBeStray(const Connection &C,
-                                       const DecodedBackendAnswer &Decoded) {
-  using IdState = DecodedBackendAnswer::IdState;
-  return Decoded.Id == IdState::Differs ||
-         (Decoded.Id == IdState::Missing && C.Exchanges > 1);
+void BackendConnectionPool::loseUntrusted(HttpChannel &Channel) {
+  Channel.close();
+  onClosed(Channel, ChannelCloseReason::Malformed);
 }
 
 bool BackendConnectionPool::onResponse(HttpChannel &Channel,
@@ -138,7 +136,13 @@
   Connection &C = Connections.at(&Channel);
   DecodedBackendAnswer Decoded =
       decodeBackendAnswer(std::move(Response), C.RequestId);
-  if (mayBeStray(C, Decoded)) {
+  using IdState = DecodedBackendAnswer::IdState;
+  bool Untrusted = Decoded.Id == IdState::Missing && C.Exchanges > 1;
+  if (Untrusted && !Decoded.Answer.success()) {
+    loseUntrusted(Channel);
+    return true;
+  }
+  if (Untrusted || Decoded.Id == IdState::Differs) {
     ++Counters.StrayAnswers;
     logRequest("backend", "event=stray_answer request=" + C.RequestId.text() +
                               " server=" + C.Server->entry().Id.text());
@@ -152,7 +156,7 @@
                    " sequence=" + std::to_string(C.Server->entry().Sequence));
   AttemptId Id = C.Attempt;
   ActiveChannels.erase(Id);
-  if (Decoded.Id == DecodedBackendAnswer::IdState::Missing) {
+  if (Decoded.Id == IdState::Missing) {
     ++Counters.AnswersWithoutId;
     Reusable = false;
   }
--- a/entry/backend_connection_pool.h
+++ b/entry/backend_connection_pool.h
@@ -10,7 +10,9 @@
 // A backend server in trouble may send a second copy of an answer late, when
 // the connection is in use again. The id that it echoes tells the copy from the
 // answer. Without an id, only the first answer on a connection can be trusted,
-// and the connection is not used again after it.
+// and the connection is not used again after it. On a connection that was used
+// before, a success without an id is dropped as a copy; after a failure without
+// one, the connection is closed, since no answer may follow it.
 
 #ifndef MIMOSA_ENTRY_BACKEND_CONNECTION_POOL_H
 #define MIMOSA_ENTRY_BACKEND_CONNECTION_POOL_H
@@ -76,9 +78,8 @@
                   bool Reusable) override;
   void onClosed(HttpChannel &Channel, ChannelCloseReason Reason) override;
 
-  /// Whether an answer on \p C may belong to an earlier request.
-  static bool mayBeStray(const Connection &C,
-                         const DecodedBackendAnswer &Decoded);
+  /// Ends the attempt on a connection whose answer cannot be trusted.
+  void loseUntrusted(HttpChannel &Channel);
   HttpChannel *takeIdle(const BackendServerPtr &Server, bool FreshOnly);
   HttpChannel *openConnection(const BackendServerPtr &Server);
   /// Closes idle connections until one more fits within the connection limit.
--- a/entry/backend_connection_pool_test.cpp
+++ b/entry/backend_connection_pool_test.cpp
@@ -183,6 +183,11 @@
                writeBytes(E, answerTo(E.PreviousId, false))) &&
               writeBytes(E, answerTo(E.Id, false));
      }},
+    {"refusals without an id",
+     [](const HostileExchange &E) {
+       return writeBytes(E, "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\n"
+                            "Content-Length: 0\r\n\r\n");
+     }},
     {"informational heads without end",
      [](const HostileExchange &E) {
        return writeWithoutEnd(E, "HTTP/1.1 102 Processing\r\n\r\n");
--- a/tools/platform_stand_in.py
+++ b/tools/platform_stand_in.py
@@ -263,9 +263,9 @@
         request_id = request.headers.get("Attempt-Id", "")
         self.last_arrival = time.monotonic()
         if request.headers.get("Expect-Instance") != self.name:
-            return request.respond(421, b"", {"Instance-Id": self.name})
+            return request.respond(421, b"", {"Instance-Id": self.name, "Attempt-Id": request_id})
         if self.sheds:
-            return request.respond(503, b"", {"Not-Executed": "1"})
+            return request.respond(503, b"", {"Not-Executed": "1", "Attempt-Id": request_id})
         with self._lock:
             self.runs.append((request_id, f"{request.command} {request.path}", body))
         time.sleep(self.delay_s)
