Register only as many hosts as a zone needs

Cause: each of 295 hosts kept an entry in the store, although 16 to 30 serve. Their renewals, and the relaying of every start and stop to all hosts, were the largest part of the store calls that hundreds of hosts add.

Change: Registration keeps twice the serving hosts of a zone listed, at least 8, the strongest first; the others follow a listed host of their zone, and register when entries are missing. Hosts whose old entry is listed take it over at once. WaitUntilTheEndOfTimeLetsOthersRun fails before.

--- a/entry/backend_connection_pool_test.cpp
+++ b/entry/backend_connection_pool_test.cpp
@@ -112,10 +112,7 @@
     while (true) {
       MonotonicTime At = Scheduler.nextWakeUp();
       TimerChanged.clear();
-      if (At == MonotonicTime::max())
-        TimerChanged.wait();
-      else
-        TimerChanged.waitUntil(At);
+      TimerChanged.waitUntil(At);
       Scheduler.onTimer(Loop.now());
     }
   }
--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -77,6 +77,7 @@
       Crashes(Options.PeerAddress, Incarnation(Seed)),
       Service(Loop, Registry, Scheduler, Crashes, Metrics, Rng),
       Directory(Self, Options.AddressLifetime, Rng),
+      OwnRegistration(candidateOf(Self), Options.FirstStart, Rng),
       Store(Loop, Options.StoreAddress),
       Feed(Loop, Store, Self, Options.Seeds, *this), Pages(Directory),
       MetricsHandler(*this),
@@ -165,10 +166,7 @@
   while (true) {
     MonotonicTime At = Scheduler.nextWakeUp();
     TimerChanged.clear();
-    if (At == MonotonicTime::max())
-      TimerChanged.wait();
-    else
-      TimerChanged.waitUntil(At);
+    TimerChanged.waitUntil(At);
     Scheduler.onTimer(Loop.now());
   }
 }
@@ -234,6 +232,10 @@
 
 void EntryNode::hostsChanged(std::vector<EntryHost> Hosts) {
   logInfo("node", "event=hosts_listed hosts=" + std::to_string(Hosts.size()));
+  std::vector<ServingCandidate> Listed;
+  for (const EntryHost &Host : Hosts)
+    Listed.push_back(candidateOf(Host));
+  OwnRegistration.setListed(Listed, Loop.now());
   OtherHosts.clear();
   for (const EntryHost &Host : Hosts)
     if (Host.PeerAddress != Self.PeerAddress)
@@ -242,6 +244,10 @@
   Registry.setHostCount(Directory.sharingHosts(Loop.now()));
 }
 
+std::optional<MonotonicTime> EntryNode::registerAt() {
+  return OwnRegistration.registerAt();
+}
+
 void EntryNode::storeReachabilityChanged(bool Reachable,
                                          const std::string &Reason) {
   if (Reachable)
--- a/entry/entry_node.h
+++ b/entry/entry_node.h
@@ -13,6 +13,7 @@
 #include "entry/entry_options.h"
 #include "entry/entry_service.h"
 #include "entry/host_directory.h"
+#include "placement/registration.h"
 #include "platform/platform_feed.h"
 
 namespace mimosa {
@@ -58,6 +59,7 @@
   void serverRemoved(const BackendServerId &Id) override;
   void evacuatedZonesChanged(std::set<AvailabilityZoneId> Zones) override;
   void hostsChanged(std::vector<EntryHost> Hosts) override;
+  std::optional<MonotonicTime> registerAt() override;
   void storeReachabilityChanged(bool Reachable,
                                 const std::string &Reason) override;
 
@@ -82,6 +84,7 @@
   CrashWatch Crashes;
   EntryService Service;
   HostDirectory Directory;
+  Registration OwnRegistration;
   MetadataStore Store;
   PlatformFeed Feed;
   DirectoryPages Pages;
--- a/entry/entry_options.cpp
+++ b/entry/entry_options.cpp
@@ -20,6 +20,7 @@
   std::string Zone;
   std::string Peer;
   std::string Seeds;
+  std::string FirstStart = "false";
   int64_t AddressLifetimeS = Values.AddressLifetime / Seconds(1);
   int64_t LongestLifetimeS = 5;
   double StopLimitS = inSeconds(Values.StopLimit);
@@ -50,6 +51,9 @@
   Parser.text("store-address", "address of the platform's store, ip:port",
               &Values.StoreAddress, true);
   Parser.text("log-level", "debug, info, warn or error", &Values.LogLevel);
+  Parser.text("first-start",
+              "true when the whole system starts for the first time",
+              &FirstStart);
   Parser.decimal("retry-ratio", "retries and hedges for each request",
                  &Values.RetryBudget.Ratio, 0, 10);
   Parser.decimal("retry-slack",
@@ -84,6 +88,7 @@
   Options.PeerAddress = HostId(Peer);
   std::vector<std::string> SeedList = splitList(Seeds);
   Options.Seeds = std::vector<HostId>(SeedList.begin(), SeedList.end());
+  Options.FirstStart = FirstStart == "true";
   Options.RetryBudget.Window = Milliseconds(WindowMs);
   Options.AddressLifetime =
       Seconds(std::min(AddressLifetimeS, LongestLifetimeS));
--- a/entry/entry_options.h
+++ b/entry/entry_options.h
@@ -28,6 +28,8 @@
   std::string StoreAddress;
   AvailabilityZoneId Zone;
   std::string LogLevel = "info";
+  /// The whole system starts for the first time.
+  bool FirstStart = false;
   RetryBudgetOptions RetryBudget;
   /// Limit on the requests per second of all hosts together to a cold backend
   /// server: its configured rate times ColdOverage, plus ColdSlack.
--- a/entry/host_directory.cpp
+++ b/entry/host_directory.cpp
@@ -1,6 +1,5 @@
 #include "entry/host_directory.h"
 
-#include "placement/serving_set.h"
 #include "platform/directory_wire.h"
 
 #include <algorithm>
@@ -11,6 +10,10 @@
 constexpr Duration HostCountWindow = Seconds(30);
 } // namespace
 
+ServingCandidate candidateOf(const EntryHost &Host) {
+  return {Host.Name, Host.Zone, Host.Capacity, Host.Busy};
+}
+
 void HostDirectory::setHosts(std::vector<EntryHost> ListedHosts,
                              MonotonicTime Now) {
   if (!HostCounts.empty())
@@ -18,9 +21,9 @@
   std::vector<ServingCandidate> Candidates;
   Candidates.reserve(ListedHosts.size());
   for (const EntryHost &Host : ListedHosts)
-    Candidates.push_back({Host.Name, Host.Zone, Host.Capacity, Host.Busy});
+    Candidates.push_back(candidateOf(Host));
   Hosts.clear();
-  bool SelfServes = false;
+  SelfServes = false;
   for (size_t I : servingSet(Candidates)) {
     SelfServes = SelfServes || ListedHosts[I].Name == Self.Name;
     Hosts.push_back(ListedHosts[I]);
--- a/entry/host_directory.h
+++ b/entry/host_directory.h
@@ -9,11 +9,15 @@
 #define MIMOSA_ENTRY_HOST_DIRECTORY_H
 
 #include "base/random.h"
+#include "placement/serving_set.h"
 #include "platform/platform_records.h"
 #include "runtime/http.h"
 
 namespace mimosa {
 
+/// \p Host as a candidate of the serving set.
+ServingCandidate candidateOf(const EntryHost &Host);
+
 class HostDirectory {
 public:
   HostDirectory(EntryHost Self, Duration AddressLifetime, Random &Rng)
@@ -26,6 +30,8 @@
   /// of the last 30 s, since a host without an entry may still be serving.
   uint32_t sharingHosts(MonotonicTime Now);
 
+  /// Whether callers are sent to this host.
+  bool serving() const { return SelfServes; }
   void setConfigured() { Configured = true; }
   void setLeaving() { Leaving = true; }
   bool ready() const { return Configured && !Leaving; }
@@ -43,6 +49,7 @@
   /// Numbers of sharing hosts and the times until which they applied, oldest
   /// first. The last one still applies.
   std::vector<std::pair<MonotonicTime, uint32_t>> HostCounts;
+  bool SelfServes = false;
   bool Configured = false;
   bool Leaving = false;
 };
--- a/runtime/fiber_loop.cpp
+++ b/runtime/fiber_loop.cpp
@@ -157,6 +157,11 @@
 void FiberEvent::clear() { State->IsSet = false; }
 
 bool FiberEvent::waitUntil(MonotonicTime Deadline) {
+  // The latest time overflows in the finer unit of the scheduler's clock.
+  if (Deadline == MonotonicTime::max()) {
+    wait();
+    return true;
+  }
   NoLock Lock;
   return State->SetCondition.wait_until(Lock, Deadline,
                                         [this] { return State->IsSet; });
--- a/runtime/fiber_loop.h
+++ b/runtime/fiber_loop.h
@@ -72,7 +72,8 @@
   void set();
   void clear();
   /// Suspends the calling fiber until the event is set or \p Deadline has
-  /// passed. Returns whether the event is set.
+  /// passed; MonotonicTime::max() is no deadline. Returns whether the event is
+  /// set.
   bool waitUntil(MonotonicTime Deadline);
   /// Suspends the calling fiber until the event is set.
   void wait();
--- a/runtime/runtime_test.cpp
+++ b/runtime/runtime_test.cpp
@@ -53,6 +53,16 @@
   });
 }
 
+// Guards against a wait without a deadline that never lets other fibers run.
+// Hosts without an entry in the store stood still in this way.
+TEST(FiberEvent, WaitUntilTheEndOfTimeLetsOthersRun) {
+  runInChildProcess([](FiberLoop &Loop) {
+    FiberEvent Event;
+    ScopedTimer Timer = Loop.after(Milliseconds(20), [&] { Event.set(); });
+    EXPECT_TRUE(Event.waitUntil(MonotonicTime::max()));
+  });
+}
+
 class EchoHandler : public HttpHandler {
 public:
   explicit EchoHandler(FiberLoop &Loop) : Loop(Loop) {}
--- a/store_cache/store_cache_relay.cpp
+++ b/store_cache/store_cache_relay.cpp
@@ -16,8 +16,11 @@
 
 void LeaderSelector::setHosts(std::vector<LeaderCandidate> Listed) {
   Candidates.clear();
+  bool OwnListed = std::any_of(
+      Listed.begin(), Listed.end(),
+      [this](const LeaderCandidate &Host) { return Host.Name == OwnName; });
   for (LeaderCandidate &Host : Listed)
-    if (Host.Zone == OwnZone && Host.Name < OwnName)
+    if (Host.Zone == OwnZone && (Host.Name < OwnName || !OwnListed))
       Candidates.push_back(std::move(Host));
   std::sort(Candidates.begin(), Candidates.end(),
             [](const LeaderCandidate &A, const LeaderCandidate &B) {
--- a/store_cache/store_cache_relay.h
+++ b/store_cache/store_cache_relay.h
@@ -45,7 +45,9 @@
 private:
   std::string OwnName;
   AvailabilityZoneId OwnZone;
-  /// Hosts of this host's zone whose names sort before its own, sorted.
+  /// Hosts of this host's zone that it may follow, sorted by name. A listed
+  /// host follows only hosts whose names sort before its own, so that no two
+  /// hosts follow each other.
   std::vector<LeaderCandidate> Candidates;
   std::map<HostId, MonotonicTime> FailedAt;
 };
