--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -233,6 +233,7 @@
 void EntryNode::hostsChanged(std::vector<EntryHost> Hosts) {
   logInfo("node", "event=hosts_listed hosts=" + std::to_string(Hosts.size()));
   std::vector<ServingCandidate> Listed;
+  Listed.reserve(Hosts.size());
   for (const EntryHost &Host : Hosts)
     Listed.push_back(candidateOf(Host));
   OwnRegistration.setListed(Listed, Loop.now());
--- a/entry/hostile_server_test_util.h
+++ b/entry/hostile_server_test_util.h
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include <functional>
+#include <stdexcept>
 #include <string>
 #include <thread>
 
@@ -67,15 +68,16 @@
   using Script = std::function<bool(const HostileExchange &)>;
 
   /// Listens on a free port of 127.0.0.1.
-  explicit HostileServer(Script Answer) {
+  explicit HostileServer(const Script &Answer) {
     int Listener = socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in Address{};
     Address.sin_family = AF_INET;
     Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t Size = sizeof(Address);
-    bind(Listener, reinterpret_cast<sockaddr *>(&Address), Size);
-    listen(Listener, 64);
-    getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Size);
+    auto *Generic = reinterpret_cast<sockaddr *>(&Address);
+    if (bind(Listener, Generic, Size) != 0 || listen(Listener, 64) != 0 ||
+        getsockname(Listener, Generic, &Size) != 0)
+      throw std::runtime_error("cannot listen on 127.0.0.1");
     Endpoint = "127.0.0.1:" + std::to_string(ntohs(Address.sin_port));
     std::thread([Listener, Answer] {
       while (true) {
