Name no address without a configuration; keep no connections on hosts that do not serve

Change: a directory without a listing and a configuration answers 503, and the caller asks the next one. Hosts that serve no callers, now or in the last 30 s, close connections after the answer.

--- a/entry/backend_connection_pool.cpp
+++ b/entry/backend_connection_pool.cpp
@@ -160,7 +160,7 @@
     ++Counters.AnswersWithoutId;
     Reusable = false;
   }
-  if (Reusable) {
+  if (Reusable && KeepIdle) {
     C.Busy = false;
     C.IdleSince = Loop.now();
     if (Decoded.KeepAliveTimeout > Duration(0))
@@ -201,7 +201,8 @@
   MonotonicTime Now = Loop.now();
   std::vector<HttpChannel *> Stale;
   for (const auto &[Key, C] : Connections)
-    if (!C.Busy && (expired(C, Now) || !Registry.usable(*C.Server)))
+    if (!C.Busy &&
+        (!KeepIdle || expired(C, Now) || !Registry.usable(*C.Server)))
       Stale.push_back(Key);
   for (HttpChannel *Channel : Stale)
     closeIdle(Channel);
--- a/entry/backend_connection_pool.h
+++ b/entry/backend_connection_pool.h
@@ -48,6 +48,11 @@
   /// this object.
   void setScheduler(CallScheduler &NewScheduler) { Scheduler = &NewScheduler; }
 
+  /// Sets whether connections stay open after an answer. The connections of a
+  /// backend server are shared by the hosts that callers are sent to; another
+  /// host, which gets a request now and then, must not hold any.
+  void setKeepIdle(bool NewKeepIdle) { KeepIdle = NewKeepIdle; }
+
   void send(AttemptId Id, const BackendServerPtr &Server,
             const CallRequest &Request, Duration TimeLeft,
             bool FreshConnection) override;
@@ -94,6 +99,7 @@
   ReceiveBudget &Budget;
   CallScheduler *Scheduler = nullptr;
   ConnectionPoolCounters Counters;
+  bool KeepIdle = true;
   std::unordered_map<HttpChannel *, Connection> Connections;
   /// Idle connections by backend server, the most recently used last.
   std::unordered_map<const BackendServer *, ChannelList> IdleChannels;
--- a/entry/backend_connection_pool_test.cpp
+++ b/entry/backend_connection_pool_test.cpp
@@ -69,6 +69,8 @@
   /// Limit on the body of an answer.
   size_t MaxAnswerBytes = 64 * 1024;
 
+  BackendConnectionPool &pool() { return Pool; }
+
   LoadFigures run() {
     rusage Before{};
     getrusage(RUSAGE_THREAD, &Before);
@@ -244,6 +246,19 @@
   }
 }
 
+// Guards against connections of hosts that serve no callers. 295 hosts kept one
+// each to a backend server that accepts 195, which reset the others' requests.
+TEST(BackendConnectionPoolTest, HostsThatDoNotServeKeepNoConnections) {
+  for (bool Serves : {true, false})
+    runInChildProcess([Serves](FiberLoop &Loop) {
+      HostileLoad Load(Loop, 1, answerWell);
+      Load.pool().setKeepIdle(Serves);
+      LoadFigures Figures = Load.run();
+      EXPECT_EQ(Figures.Served, Workers * CallsPerWorker);
+      EXPECT_EQ(Load.pool().openConnections() > 0, Serves);
+    });
+}
+
 // Answers of single backend servers may be long, so that only the budget of the
 // process bounds their memory.
 TEST(BackendConnectionPoolTest, ManyEndlessBodiesStayWithinTheBudget) {
--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -173,6 +173,7 @@
 
 void EntryNode::runPeriodicTasks() {
   Registry.setHostCount(Directory.sharingHosts(Loop.now()));
+  ConnectionPool.setKeepIdle(Directory.serving(Loop.now()));
   ConnectionPool.closeExpired();
   updateBusy();
 }
--- a/entry/host_directory.cpp
+++ b/entry/host_directory.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 constexpr Duration HostCountWindow = Seconds(30);
+/// Callers keep addresses for several seconds, and an entry that expired while
+/// the store was unreachable is written again within seconds.
+constexpr Duration ServingMemory = Seconds(30);
 } // namespace
 
 ServingCandidate candidateOf(const EntryHost &Host) {
@@ -23,6 +26,8 @@
   for (const EntryHost &Host : ListedHosts)
     Candidates.push_back(candidateOf(Host));
   Hosts.clear();
+  if (SelfServes)
+    ServedUntil = Now;
   SelfServes = false;
   for (size_t I : servingSet(Candidates)) {
     SelfServes = SelfServes || ListedHosts[I].Name == Self.Name;
@@ -32,6 +37,10 @@
   HostCounts.emplace_back(Now, static_cast<uint32_t>(Count));
 }
 
+bool HostDirectory::serving(MonotonicTime Now) const {
+  return SelfServes || (ServedUntil && Now - *ServedUntil < ServingMemory);
+}
+
 uint32_t HostDirectory::sharingHosts(MonotonicTime Now) {
   uint32_t Max = 1;
   for (size_t I = 0; I < HostCounts.size(); ++I)
@@ -49,9 +58,9 @@
   for (const EntryHost &Host : Hosts)
     if (Host.Name != Self.Name || ready())
       Out.push_back(Host.CallerAddress);
-  // Without any address, callers would ask again at once. This host at least
-  // refuses their requests as not run.
-  if (Out.empty())
+  // Without a listing, this host can still serve by itself. If it knows no
+  // configuration either, callers should ask another host.
+  if (Out.empty() && Configured)
     Out.push_back(Self.CallerAddress);
   for (size_t I = Out.size(); I > MaxAddressesPerAnswer; --I) {
     std::swap(Out[Rng.below(I)], Out[I - 1]);
@@ -61,8 +70,11 @@
 }
 
 HttpResponse HostDirectory::answer(const HttpRequest &Request) const {
-  if (isAddressRequest(Request))
-    return encodeAddresses(addresses(), AddressLifetime);
+  if (isAddressRequest(Request)) {
+    std::vector<std::string> Addresses = addresses();
+    return Addresses.empty() ? encodeNoAddresses()
+                             : encodeAddresses(Addresses, AddressLifetime);
+  }
   if (isReadinessRequest(Request))
     return encodeReadiness(ready());
   HttpResponse Unknown;
--- a/entry/host_directory.h
+++ b/entry/host_directory.h
@@ -13,6 +13,8 @@
 #include "platform/platform_records.h"
 #include "runtime/http.h"
 
+#include <optional>
+
 namespace mimosa {
 
 /// \p Host as a candidate of the serving set.
@@ -30,8 +32,9 @@
   /// of the last 30 s, since a host without an entry may still be serving.
   uint32_t sharingHosts(MonotonicTime Now);
 
-  /// Whether callers are sent to this host.
-  bool serving() const { return SelfServes; }
+  /// Whether callers are sent to this host, or were so in the last 30 s: they
+  /// keep its address for a while, and its entry may only be late.
+  bool serving(MonotonicTime Now) const;
   void setConfigured() { Configured = true; }
   void setLeaving() { Leaving = true; }
   bool ready() const { return Configured && !Leaving; }
@@ -50,6 +53,8 @@
   /// first. The last one still applies.
   std::vector<std::pair<MonotonicTime, uint32_t>> HostCounts;
   bool SelfServes = false;
+  /// When this host was last seen to leave the serving set.
+  std::optional<MonotonicTime> ServedUntil;
   bool Configured = false;
   bool Leaving = false;
 };
