Keep idle connections on hosts that have callers

It closed each connection after the answer, so that each query opened up to 135; the host's processor share was used up, and requests lay unread in its socket for up to 1.8 s.

Change: a host with 20 attempts or more in the last second keeps idle connections.

--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -29,6 +29,9 @@
 /// Part of the memory for long answers that are being received. A string that
 /// grows holds up to three times its length for a moment.
 constexpr size_t AnswerMemoryDivisor = 16;
+/// A host with this many attempts in the last second has callers, even if it is
+/// not in the serving set, and keeps idle connections for their next requests.
+constexpr uint64_t MinAttemptsForIdle = 20;
 /// Connections stay open this much longer than the idle timeout in the
 /// configuration, so that requests sent right after a change of that timeout do
 /// not reach a closed connection.
@@ -173,7 +176,9 @@
 
 void EntryNode::runPeriodicTasks() {
   Registry.setHostCount(Directory.sharingHosts(Loop.now()));
-  ConnectionPool.setKeepIdle(Directory.serving(Loop.now()));
+  ConnectionPool.setKeepIdle(Directory.serving(Loop.now()) ||
+                             Scheduler.counters().Attempts - LastAttemptCount >=
+                                 MinAttemptsForIdle);
   ConnectionPool.closeExpired();
   updateBusy();
 }
