Log the lateness of the loop, undelivered requests and the traffic of the relay

The logs could not tell why requests reach backend servers after their deadline: a late loop, fibers that wait, a connection that is still being opened, or bytes that wait in the kernel. Adds mimosa_loop_late_seconds and event=loop_late, event=cancelled_undelivered with the bytes that the server has not acknowledged, and one line a second on replies to followers.

No logic is changed.

--- a/entry/backend_connection_pool.cpp
+++ b/entry/backend_connection_pool.cpp
@@ -100,6 +100,15 @@
     return;
   HttpChannel *Channel = Found->second;
   ActiveChannels.erase(Found);
+  if (size_t Unacknowledged = Channel->unacknowledgedBytes()) {
+    ++Counters.CancelledUndelivered;
+    const Connection &C = Connections.at(Channel);
+    logRequest("backend",
+               "event=cancelled_undelivered request=" + C.RequestId.text() +
+                   " server=" + C.Server->entry().Id.text() +
+                   " connected=" + (Channel->connected() ? "1" : "0") +
+                   " bytes=" + std::to_string(Unacknowledged));
+  }
   Channel->close();
   removeConnection(Channel);
 }
--- a/entry/backend_connection_pool.h
+++ b/entry/backend_connection_pool.h
@@ -34,6 +34,9 @@
   uint64_t AnswersWithoutId = 0;
   /// Connections closed because of bytes that are no valid answer.
   uint64_t MalformedAnswers = 0;
+  /// Attempts cancelled before the backend server had acknowledged all bytes of
+  /// the request.
+  uint64_t CancelledUndelivered = 0;
 };
 
 class BackendConnectionPool : public BackendTransport,
--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -70,7 +70,7 @@
       Rng(Seed), Self{Options.HostName, Options.CallerAddress,
                       Options.PeerAddress, Options.Zone,
                       Options.CoreShare * Options.CoreSpeed},
-      Registry(Options.Zone, Rng),
+      Monitor(Loop, Metrics), Registry(Options.Zone, Rng),
       AnswerBudget(Options.MemoryBytes / AnswerMemoryDivisor),
       ConnectionPool(Loop, Registry, AnswerBudget),
       Scheduler(Registry, ConnectionPool),
@@ -118,6 +118,13 @@
         [](Node &N) { return N.ConnectionPool.counters().AnswersWithoutId; });
   Gauge("mimosa_backend_malformed_answers_total",
         [](Node &N) { return N.ConnectionPool.counters().MalformedAnswers; });
+  Gauge("mimosa_backend_cancelled_undelivered_total", [](Node &N) {
+    return N.ConnectionPool.counters().CancelledUndelivered;
+  });
+  Gauge("mimosa_store_cache_replies_total",
+        [](Node &N) { return N.Feed.relayCounters().Replies; });
+  Gauge("mimosa_store_cache_reply_bytes_total",
+        [](Node &N) { return N.Feed.relayCounters().Bytes; });
   Gauge("mimosa_answer_memory_bytes",
         [](Node &N) { return N.AnswerBudget.usedBytes(); });
   Gauge("mimosa_backend_connections",
--- a/entry/entry_node.h
+++ b/entry/entry_node.h
@@ -15,6 +15,7 @@
 #include "entry/host_directory.h"
 #include "placement/registration.h"
 #include "platform/platform_feed.h"
+#include "runtime/loop_monitor.h"
 
 namespace mimosa {
 
@@ -77,6 +78,7 @@
   SeededRandom Rng;
   EntryHost Self;
   MetricsRegistry Metrics;
+  LoopMonitor Monitor;
   ServerRegistry Registry;
   ReceiveBudget AnswerBudget;
   BackendConnectionPool ConnectionPool;
--- a/runtime/http_channel.cpp
+++ b/runtime/http_channel.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http.hpp>
 #include <netinet/tcp.h>
 #include <optional>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace mimosa {
@@ -30,6 +31,8 @@
   void exchange(std::string NewRequest, bool IsHead,
                 size_t NewMaxBodyBytes) override;
   void close() override;
+  bool connected() const override { return Connected; }
+  size_t unacknowledgedBytes() override;
 
 private:
   using ResponseParser = http::response_parser<http::string_body>;
@@ -244,6 +247,14 @@
   return false;
 }
 
+size_t Channel::unacknowledgedBytes() {
+  size_t Unwritten = Request.size() - Written;
+  int Queued = 0;
+  if (!Connected || ioctl(Socket.native_handle(), TIOCOUTQ, &Queued) != 0)
+    return Unwritten;
+  return Unwritten + static_cast<size_t>(Queued);
+}
+
 void Channel::closeWith(ChannelCloseReason Reason) {
   if (Closed)
     return;
--- a/runtime/http_channel.h
+++ b/runtime/http_channel.h
@@ -75,6 +75,11 @@
                         size_t MaxBodyBytes) = 0;
   /// Closes the connection; no event is reported.
   virtual void close() = 0;
+
+  /// Whether the connection is established.
+  virtual bool connected() const = 0;
+  /// Bytes of the current request that the server has not acknowledged.
+  virtual size_t unacknowledgedBytes() = 0;
 };
 
 } // namespace mimosa
--- a/store_cache/store_cache_relay.cpp
+++ b/store_cache/store_cache_relay.cpp
@@ -12,6 +12,8 @@
 /// A leader that failed is tried again after this time.
 constexpr Duration LeaderRetryDelay = Seconds(4);
 constexpr Duration TimerInterval = Milliseconds(250);
+/// Interval of the log line on replies to followers.
+constexpr Duration LogInterval = Seconds(1);
 } // namespace
 
 void LeaderSelector::setHosts(std::vector<LeaderCandidate> Listed) {
@@ -43,6 +45,7 @@
 
 void StoreCacheRelay::start() {
   Timer = Loop.every(TimerInterval, [this] { onTimer(); });
+  LogTimer = Loop.every(LogInterval, [this] { logTraffic(); });
 }
 
 bool StoreCacheRelay::fresh() const {
@@ -61,12 +64,29 @@
   return Out;
 }
 
+void StoreCacheRelay::reply(StoreRevision After, const PeerReplier &Reply) {
+  std::string Body = packBody(makeReplyFor(After));
+  ++Counters.Replies;
+  Counters.Bytes += Body.size();
+  Reply(MessageType::StoreCacheReply, std::move(Body));
+}
+
+void StoreCacheRelay::logTraffic() {
+  if (Counters.Replies == Logged.Replies)
+    return;
+  logInfo("relay",
+          "event=replied replies=" +
+              std::to_string(Counters.Replies - Logged.Replies) +
+              " bytes=" + std::to_string(Counters.Bytes - Logged.Bytes) +
+              " revision=" + std::to_string(Cache.revision().number()));
+  Logged = Counters;
+}
+
 void StoreCacheRelay::replyToAll() {
   std::vector<PendingRequest> Due = std::move(Pending);
   Pending.clear();
   for (PendingRequest &Request : Due)
-    Request.Reply(MessageType::StoreCacheReply,
-                  packBody(makeReplyFor(Request.After)));
+    reply(Request.After, Request.Reply);
 }
 
 void StoreCacheRelay::onTimer() {
@@ -78,8 +98,7 @@
         .push_back(std::move(Request));
   Pending = std::move(StillPending);
   for (PendingRequest &Request : Due)
-    Request.Reply(MessageType::StoreCacheReply,
-                  packBody(makeReplyFor(Request.After)));
+    reply(Request.After, Request.Reply);
 }
 
 bool StoreCacheRelay::handleFrame(const PeerFrame &Frame, PeerReplier Reply) {
@@ -94,7 +113,7 @@
   const StoreCacheRequest &Request = valueOf(Decoded);
   bool HasUpdate = Cache.revision() > Request.After || !fresh();
   if (HasUpdate || Request.Wait <= Duration(0))
-    Reply(MessageType::StoreCacheReply, packBody(makeReplyFor(Request.After)));
+    reply(Request.After, Reply);
   else
     Pending.push_back(
         {Request.After, Loop.now() + Request.Wait, std::move(Reply)});
--- a/store_cache/store_cache_relay.h
+++ b/store_cache/store_cache_relay.h
@@ -52,6 +52,13 @@
   std::map<HostId, MonotonicTime> FailedAt;
 };
 
+/// Counters since the start of the process.
+struct RelayCounters {
+  uint64_t Replies = 0;
+  /// Bytes of the replies, without the frames around them.
+  uint64_t Bytes = 0;
+};
+
 /// Answers the followers' requests for changes.
 class StoreCacheRelay : public PeerHandler {
 public:
@@ -66,6 +73,7 @@
   void cacheChanged() { replyToAll(); }
 
   bool handleFrame(const PeerFrame &Frame, PeerReplier Reply) override;
+  const RelayCounters &counters() const { return Counters; }
 
 private:
   /// A request that waits for a change.
@@ -77,14 +85,20 @@
 
   bool fresh() const;
   StoreCacheReply makeReplyFor(StoreRevision After) const;
+  void reply(StoreRevision After, const PeerReplier &Reply);
   void replyToAll();
   void onTimer();
+  void logTraffic();
 
   FiberLoop &Loop;
   const StoreCache &Cache;
   const SourceHealth &Source;
   std::vector<PendingRequest> Pending;
   ScopedTimer Timer;
+  RelayCounters Counters;
+  /// Counters when they were last logged.
+  RelayCounters Logged;
+  ScopedTimer LogTimer;
 };
 
 } // namespace mimosa
