Compress and pace the replies to followers

Cause: after the loss of a leader, or when many backend servers were replaced, all 56 followers ask the next leader at once for 126 to 216 KB each. All replies were handed to the link at once, 6.9 MB and 4.8 MB in a second over 2.5 MB/s. Callers' traffic waited behind them, and no reply arrived within the 1.4 s of a follower, which turned to another host and began anew: 48 followers left the host at 5.3 s, 18 at 10.5 s.

Change: replies with changes are compressed by zlib once for all followers with the same revision, and sent one after another at a third of the link (new setting link-mbps); a request whose follower has given up is dropped.

--- a/entry/entry_options.cpp
+++ b/entry/entry_options.cpp
@@ -76,6 +76,8 @@
                 &Descriptors, 300, 10000000);
   Parser.number("memory-mb", "limit of the memory of this process", &MemoryMb,
                 32, 1 << 20);
+  Parser.decimal("link-mbps", "megabits per second of this host's link",
+                 &Values.Relaying.LinkMbps, 0.1, 1e6);
   Parser.decimal("core-share", "number of cores that may be used",
                  &Values.CoreShare, 0.001, 1024);
   Parser.decimal("core-speed", "speed of a core, 1 for the usual one",
--- a/entry/entry_options.h
+++ b/entry/entry_options.h
@@ -6,6 +6,7 @@
 #include "balance/retry_budget.h"
 #include "base/ids.h"
 #include "base/time.h"
+#include "store_cache/store_cache_relay.h"
 
 #include <optional>
 #include <string>
@@ -31,6 +32,7 @@
   /// The whole system starts for the first time.
   bool FirstStart = false;
   RetryBudgetOptions RetryBudget;
+  RelayOptions Relaying;
   /// Limit on the requests per second of all hosts together to a cold backend
   /// server: its configured rate times ColdOverage, plus ColdSlack.
   double ColdOverage = 1.5;
--- a/store_cache/messages.cpp
+++ b/store_cache/messages.cpp
@@ -1,7 +1,16 @@
 #include "store_cache/messages.h"
 
+#include <zlib.h>
+
 namespace mimosa {
 
+namespace {
+/// Shorter replies gain little.
+constexpr size_t MinCompressedBytes = 1024;
+/// Bounds the memory that a reply of another host can take up.
+constexpr size_t MaxItemBytes = 32 << 20;
+} // namespace
+
 StoreCacheReply makeReply(const StoreChanges &Changes) {
   StoreCacheReply Out;
   Out.FullListing = Changes.FullListing;
@@ -25,4 +34,44 @@
   return Out;
 }
 
+void compressItems(StoreCacheReply &Reply) {
+  std::string Packed = packBody(Reply.Items);
+  if (Packed.size() < MinCompressedBytes)
+    return;
+  uLongf Length = compressBound(Packed.size());
+  std::string Compressed(Length, '\0');
+  // The fastest level: the leader's processor time is scarce, too.
+  if (compress2(reinterpret_cast<Bytef *>(Compressed.data()), &Length,
+                reinterpret_cast<const Bytef *>(Packed.data()), Packed.size(),
+                Z_BEST_SPEED) != Z_OK)
+    return;
+  Compressed.resize(Length);
+  Reply.CompressedItems = std::move(Compressed);
+  Reply.ItemBytes = Packed.size();
+  Reply.Items.clear();
+}
+
+Result<Done> decompressItems(StoreCacheReply &Reply) {
+  if (Reply.CompressedItems.empty())
+    return Done{};
+  if (Reply.ItemBytes > MaxItemBytes)
+    return Error{ResultCode::BadFrame,
+                 "the items have " + std::to_string(Reply.ItemBytes) +
+                     " bytes, allowed are " + std::to_string(MaxItemBytes)};
+  std::string Packed(Reply.ItemBytes, '\0');
+  uLongf Length = Packed.size();
+  int Outcome =
+      uncompress(reinterpret_cast<Bytef *>(Packed.data()), &Length,
+                 reinterpret_cast<const Bytef *>(Reply.CompressedItems.data()),
+                 Reply.CompressedItems.size());
+  if (Outcome != Z_OK || Length != Packed.size())
+    return Error{ResultCode::BadFrame, "the items cannot be decompressed"};
+  auto Items = unpackBody<std::vector<StoreItemMessage>>(Packed);
+  if (!ok(Items))
+    return errorOf(Items);
+  Reply.Items = std::move(valueOf(Items));
+  Reply.CompressedItems.clear();
+  return Done{};
+}
+
 } // namespace mimosa
--- a/store_cache/messages.h
+++ b/store_cache/messages.h
@@ -14,9 +14,16 @@
   StoreRevision After;
   /// Longest wait for a change; after it the reply is empty.
   Duration Wait{0};
-  MSGPACK_DEFINE_MAP(After, Wait);
+  /// Whether the reply may have its items in StoreCacheReply::CompressedItems.
+  bool AcceptsCompressed = false;
+  MSGPACK_DEFINE_MAP(After, Wait, AcceptsCompressed);
 };
 
+/// Time for the reply to arrive after the wait has ended. Then the follower has
+/// turned to another host. A silent leader thus delays changes by less than the
+/// 3 s within which they must be active.
+constexpr Duration StoreCacheReplyMargin = Milliseconds(400);
+
 /// A StoreItem as it is sent.
 struct StoreItemMessage {
   std::string Key;
@@ -42,9 +49,14 @@
   /// has failed.
   Duration SinceFailure{-1};
   std::vector<StoreItemMessage> Items;
+  /// Items in MessagePack, compressed by zlib; empty if they are in Items.
+  std::string CompressedItems;
+  /// Length of CompressedItems once it is decompressed.
+  uint64_t ItemBytes = 0;
   MSGPACK_DEFINE_MAP(Fresh, MSGPACK_NVP("Listed", HasListing), Age,
                      MSGPACK_NVP("Whole", FullListing),
-                     MSGPACK_NVP("Upto", Revision), SinceFailure, Items);
+                     MSGPACK_NVP("Upto", Revision), SinceFailure, Items,
+                     CompressedItems, ItemBytes);
 };
 
 /// Message 42: offers the sender's cache to a host that may have just started
@@ -58,6 +70,11 @@
 StoreCacheReply makeReply(const StoreChanges &Changes);
 StoreChanges changesOf(StoreCacheReply Reply);
 
+/// Moves Items to CompressedItems if they are long enough to gain from it.
+void compressItems(StoreCacheReply &Reply);
+/// Undoes compressItems(); fails with BadFrame.
+Result<Done> decompressItems(StoreCacheReply &Reply);
+
 } // namespace mimosa
 
 #endif // MIMOSA_STORE_CACHE_MESSAGES_H
--- a/store_cache/module.cmake
+++ b/store_cache/module.cmake
@@ -1,1 +1,2 @@
-mimosa_module(store_cache mimosa_base mimosa_runtime)
+find_package(ZLIB REQUIRED)
+mimosa_module(store_cache mimosa_base mimosa_runtime ZLIB::ZLIB)
--- a/store_cache/store_cache_relay.cpp
+++ b/store_cache/store_cache_relay.cpp
@@ -12,6 +12,10 @@
 /// A leader that failed is tried again after this time.
 constexpr Duration LeaderRetryDelay = Seconds(4);
 constexpr Duration TimerInterval = Milliseconds(250);
+constexpr double BytesPerMegabit = 1e6 / 8;
+/// Share of the link for replies with changes. The rest is for callers and
+/// backend servers.
+constexpr double LinkShare = 0.33;
 /// Interval of the log line on replies to followers.
 constexpr Duration LogInterval = Seconds(1);
 } // namespace
@@ -43,6 +47,12 @@
   FailedAt[Leader] = Now;
 }
 
+StoreCacheRelay::StoreCacheRelay(FiberLoop &Loop, const StoreCache &Cache,
+                                 const SourceHealth &Source,
+                                 RelayOptions Options)
+    : Loop(Loop), Cache(Cache), Source(Source),
+      Pacer(Options.LinkMbps * BytesPerMegabit * LinkShare) {}
+
 void StoreCacheRelay::start() {
   Timer = Loop.every(TimerInterval, [this] { onTimer(); });
   LogTimer = Loop.every(LogInterval, [this] { logTraffic(); });
@@ -52,10 +62,21 @@
   return Cache.hasListing() && Source.fresh(Loop.now());
 }
 
-StoreCacheReply StoreCacheRelay::makeReplyFor(StoreRevision After) const {
+StoreCacheReply StoreCacheRelay::makeReplyFor(const PendingRequest &Request) {
   StoreCacheReply Out;
-  if (Cache.hasListing())
-    Out = makeReply(Cache.changesSince(After));
+  if (Cache.hasListing() && Request.AcceptsCompressed) {
+    if (CompressedAt != Cache.revision())
+      Compressed.clear();
+    CompressedAt = Cache.revision();
+    auto [Found, IsNew] = Compressed.try_emplace(Request.After);
+    if (IsNew) {
+      Found->second = makeReply(Cache.changesSince(Request.After));
+      compressItems(Found->second);
+    }
+    Out = Found->second;
+  } else if (Cache.hasListing()) {
+    Out = makeReply(Cache.changesSince(Request.After));
+  }
   Out.HasListing = Cache.hasListing();
   Out.Fresh = fresh();
   Out.Age = Source.age(Loop.now());
@@ -64,11 +85,34 @@
   return Out;
 }
 
-void StoreCacheRelay::reply(StoreRevision After, const PeerReplier &Reply) {
-  std::string Body = packBody(makeReplyFor(After));
+void StoreCacheRelay::reply(const PendingRequest &Request) {
+  std::string Body = packBody(makeReplyFor(Request));
   ++Counters.Replies;
   Counters.Bytes += Body.size();
-  Reply(MessageType::StoreCacheReply, std::move(Body));
+  Pacer.recordSent(Body.size(), Loop.now());
+  Request.Reply(MessageType::StoreCacheReply, std::move(Body));
+}
+
+void StoreCacheRelay::enqueue(PendingRequest Request) {
+  if (Request.After >= Cache.revision())
+    return reply(Request);
+  Queued.push_back(std::move(Request));
+  sendQueued();
+}
+
+void StoreCacheRelay::sendQueued() {
+  MonotonicTime Now = Loop.now();
+  while (!Queued.empty() && Pacer.maySend(Now)) {
+    PendingRequest Request = std::move(Queued.front());
+    Queued.pop_front();
+    if (Now >= Request.Deadline + StoreCacheReplyMargin)
+      ++Counters.Dropped;
+    else
+      reply(Request);
+  }
+  SendTimer.cancel();
+  if (!Queued.empty())
+    SendTimer = Loop.after(Pacer.nextSendAt() - Now, [this] { sendQueued(); });
 }
 
 void StoreCacheRelay::logTraffic() {
@@ -78,6 +122,8 @@
           "event=replied replies=" +
               std::to_string(Counters.Replies - Logged.Replies) +
               " bytes=" + std::to_string(Counters.Bytes - Logged.Bytes) +
+              " queued=" + std::to_string(Queued.size()) +
+              " dropped=" + std::to_string(Counters.Dropped - Logged.Dropped) +
               " revision=" + std::to_string(Cache.revision().number()));
   Logged = Counters;
 }
@@ -86,7 +132,7 @@
   std::vector<PendingRequest> Due = std::move(Pending);
   Pending.clear();
   for (PendingRequest &Request : Due)
-    reply(Request.After, Request.Reply);
+    enqueue(std::move(Request));
 }
 
 void StoreCacheRelay::onTimer() {
@@ -98,7 +144,7 @@
         .push_back(std::move(Request));
   Pending = std::move(StillPending);
   for (PendingRequest &Request : Due)
-    reply(Request.After, Request.Reply);
+    enqueue(std::move(Request));
 }
 
 bool StoreCacheRelay::handleFrame(const PeerFrame &Frame, PeerReplier Reply) {
@@ -112,11 +158,12 @@
   }
   const StoreCacheRequest &Request = valueOf(Decoded);
   bool HasUpdate = Cache.revision() > Request.After || !fresh();
+  PendingRequest New{Request.After, Loop.now() + Request.Wait,
+                     Request.AcceptsCompressed, std::move(Reply)};
   if (HasUpdate || Request.Wait <= Duration(0))
-    reply(Request.After, Reply);
+    enqueue(std::move(New));
   else
-    Pending.push_back(
-        {Request.After, Loop.now() + Request.Wait, std::move(Reply)});
+    Pending.push_back(std::move(New));
   return true;
 }
 
--- a/store_cache/store_cache_relay.h
+++ b/store_cache/store_cache_relay.h
@@ -12,12 +12,18 @@
 // the next one, and if MaxLeaders hosts have failed, the store. A leader that
 // cannot reach the store reports its cache as stale, and its followers turn to
 // another source.
+//
+// Replies with changes are compressed and sent one after another at a share of
+// the link. If all were sent at once, each would arrive late, after its
+// follower has turned to another host, and callers' traffic would wait behind
+// them. A request whose follower has given up is dropped.
 
 #ifndef MIMOSA_STORE_CACHE_STORE_CACHE_RELAY_H
 #define MIMOSA_STORE_CACHE_STORE_CACHE_RELAY_H
 
 #include "runtime/peer.h"
 #include "store_cache/messages.h"
+#include "store_cache/send_pacer.h"
 #include "store_cache/source_health.h"
 
 namespace mimosa {
@@ -52,19 +58,25 @@
   std::map<HostId, MonotonicTime> FailedAt;
 };
 
+struct RelayOptions {
+  /// Speed of this host's link in megabits per second.
+  double LinkMbps = 100;
+};
+
 /// Counters since the start of the process.
 struct RelayCounters {
   uint64_t Replies = 0;
   /// Bytes of the replies, without the frames around them.
   uint64_t Bytes = 0;
+  /// Requests dropped because their follower had given up.
+  uint64_t Dropped = 0;
 };
 
 /// Answers the followers' requests for changes.
 class StoreCacheRelay : public PeerHandler {
 public:
   StoreCacheRelay(FiberLoop &Loop, const StoreCache &Cache,
-                  const SourceHealth &Source)
-      : Loop(Loop), Cache(Cache), Source(Source) {}
+                  const SourceHealth &Source, RelayOptions Options = {});
 
   /// Starts the timer that replies to followers whose wait has ended, and to
   /// all followers if the cache has become stale.
@@ -76,16 +88,21 @@
   const RelayCounters &counters() const { return Counters; }
 
 private:
-  /// A request that waits for a change.
   struct PendingRequest {
     StoreRevision After;
+    /// When the follower's wait for a change ends.
     MonotonicTime Deadline;
+    bool AcceptsCompressed = false;
     PeerReplier Reply;
   };
 
   bool fresh() const;
-  StoreCacheReply makeReplyFor(StoreRevision After) const;
-  void reply(StoreRevision After, const PeerReplier &Reply);
+  StoreCacheReply makeReplyFor(const PendingRequest &Request);
+  void reply(const PendingRequest &Request);
+  /// Replies to \p Request as soon as its turn comes; at once if the reply has
+  /// no changes and is therefore short.
+  void enqueue(PendingRequest Request);
+  void sendQueued();
   void replyToAll();
   void onTimer();
   void logTraffic();
@@ -93,7 +110,15 @@
   FiberLoop &Loop;
   const StoreCache &Cache;
   const SourceHealth &Source;
+  SendPacer Pacer;
+  /// Requests that wait for a change.
   std::vector<PendingRequest> Pending;
+  /// Requests to which changes are to be sent, oldest first.
+  std::deque<PendingRequest> Queued;
+  /// Compressed replies as of CompressedAt, by StoreCacheRequest::After.
+  std::map<StoreRevision, StoreCacheReply> Compressed;
+  StoreRevision CompressedAt;
+  ScopedTimer SendTimer;
   ScopedTimer Timer;
   RelayCounters Counters;
   /// Counters when they were last logged.
--- a/store_cache/store_cache_relay_test.cpp
+++ b/store_cache/store_cache_relay_test.cpp
@@ -47,7 +47,8 @@
     Relay.start();
     PeerFrame Frame;
     Frame.Type = MessageType::StoreCacheRequest;
-    Frame.Body = packBody(StoreCacheRequest{StoreRevision(6), Seconds(1)});
+    Frame.Body =
+        packBody(StoreCacheRequest{StoreRevision(6), Seconds(1), true});
     std::vector<std::pair<MonotonicTime, size_t>> Sent;
     MonotonicTime Begin = Loop.now();
     for (size_t I = 0; I < Followers; ++I)
--- a/store_cache/store_cache_test.cpp
+++ b/store_cache/store_cache_test.cpp
@@ -40,8 +40,11 @@
 
 /// Updates \p To with the changes from \p From, through the message.
 void follow(const StoreCache &From, StoreCache &To) {
-  StoreChanges Changes = changesOf(valueOf(unpackBody<StoreCacheReply>(
-      packBody(makeReply(From.changesSince(To.revision()))))));
+  StoreCacheReply Sent = makeReply(From.changesSince(To.revision()));
+  compressItems(Sent);
+  auto Received = valueOf(unpackBody<StoreCacheReply>(packBody(Sent)));
+  ASSERT_TRUE(ok(decompressItems(Received)));
+  StoreChanges Changes = changesOf(std::move(Received));
   if (Changes.FullListing) {
     To.applyListing(Changes.Items, Changes.Revision);
     return;
@@ -88,6 +91,27 @@
   }
 }
 
+// Guards against a reply that makes its follower crash, allocate without bound
+// or apply other items than were sent.
+TEST(StoreCacheReply, CorruptCompressedItemsAreRejected) {
+  StoreCacheReply Good;
+  for (uint64_t I = 0; I < 100; ++I)
+    Good.Items.push_back({"key" + std::to_string(I), true, "value", {}});
+  compressItems(Good);
+  ASSERT_FALSE(Good.CompressedItems.empty());
+  StoreCacheReply Cut = Good;
+  Cut.CompressedItems.resize(Cut.CompressedItems.size() / 2);
+  EXPECT_FALSE(ok(decompressItems(Cut)));
+  for (uint64_t Bytes :
+       {Good.ItemBytes - 1, Good.ItemBytes + 1, uint64_t(0), UINT64_MAX}) {
+    StoreCacheReply WrongLength = Good;
+    WrongLength.ItemBytes = Bytes;
+    EXPECT_FALSE(ok(decompressItems(WrongLength))) << Bytes;
+  }
+  EXPECT_TRUE(ok(decompressItems(Good)));
+  EXPECT_EQ(Good.Items.size(), 100u);
+}
+
 // Guards against a zone in which no host, or every host, follows the store, and
 // against a follower that keeps following a leader that does not answer.
 TEST(LeaderSelector, SelectsTheFirstHostOfTheZone) {
