Drop the unsent bytes of a cancelled attempt

Backend servers saw requests whose callers' deadline had passed, with the time that was left when they were written.

--- a/entry/backend_connection_pool.cpp
+++ b/entry/backend_connection_pool.cpp
@@ -109,7 +109,8 @@
                    " connected=" + (Channel->connected() ? "1" : "0") +
                    " bytes=" + std::to_string(Unacknowledged));
   }
-  Channel->close();
+  // The request must not arrive later than now.
+  Channel->abort();
   removeConnection(Channel);
 }
 
--- a/runtime/http_channel.cpp
+++ b/runtime/http_channel.cpp
@@ -31,6 +31,7 @@
   void exchange(std::string NewRequest, bool IsHead,
                 size_t NewMaxBodyBytes) override;
   void close() override;
+  void abort() override;
   bool connected() const override { return Connected; }
   size_t unacknowledgedBytes() override;
 
@@ -271,6 +272,12 @@
   Socket.close(Ignored);
 }
 
+void Channel::abort() {
+  error_code Ignored;
+  Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+  close();
+}
+
 } // namespace
 
 HttpChannel::~HttpChannel() = default;
--- a/runtime/http_channel.h
+++ b/runtime/http_channel.h
@@ -73,8 +73,12 @@
   /// has returned.
   virtual void exchange(std::string Request, bool IsHeadRequest,
                         size_t MaxBodyBytes) = 0;
-  /// Closes the connection; no event is reported.
+  /// Closes the connection; no event is reported. Bytes that are still waiting
+  /// to be sent are sent.
   virtual void close() = 0;
+  /// Closes the connection and drops bytes that are still waiting to be sent;
+  /// no event is reported.
+  virtual void abort() = 0;
 
   /// Whether the connection is established.
   virtual bool connected() const = 0;
