Count a deadline from when the request could be read

A request that waits in its socket while another one of its connection runs, or while ready fibers run, got its whole time again when it was read, and was sent to backend servers that could not help any more.

Change: a request arrives when its connection becomes readable. One whose deadline has passed before it is handled is refused at once, unrun.

Http.PipelinedRequestArrivesBeforeTheFirstIsAnswered: arrives after 301 ms before, within 150 ms now. EntryTest.test_request_that_waited_beyond_its_ deadline_is_refused_unrun: sent to a searcher and answered 504 before, 503 now.

--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -193,6 +193,9 @@
   if (Crashes.quarantined(Context.RequestFingerprint, Loop.now()))
     return refuse(Context, ResultCode::Quarantined, "crashes_backend_servers",
                   QuarantinedRetryAfter);
+  if (Loop.now() >= Context.Times.Deadline)
+    return refuse(Context, ResultCode::DeadlineTooShort, "waited_too_long",
+                  retryAfter(CallReason::Overloaded, Rng));
   ++InFlight;
   HttpResponse Out =
       MatchedRoute->isGather() ? serveGather(Context) : serveSingle(Context);
--- a/runtime/http.h
+++ b/runtime/http.h
@@ -43,7 +43,7 @@
   uint64_t ConnectionId = 0;
   /// All headers, in the order received. A client does not send them.
   std::vector<HttpHeader> Headers;
-  /// When the first byte of the request was read.
+  /// When the first byte of the request was ready to be read.
   MonotonicTime ArrivedAt;
 
   /// The target without its query string.
--- a/runtime/http_server.cpp
+++ b/runtime/http_server.cpp
@@ -106,6 +106,10 @@
   beast::flat_buffer Buffer;
   const HttpServerOptions &Options;
   HttpServerCounters &Counters;
+  /// When the latest bytes were ready to be read.
+  MonotonicTime ReadableAt;
+  /// When the first byte of the request was ready to be read, which may be long
+  /// before it is read: another request of the connection may be running.
   MonotonicTime ArrivedAt;
   /// The caller of the latest request, until the next request arrives.
   std::shared_ptr<CallerConnection> LatestCaller;
@@ -144,6 +148,7 @@
                       if (Failure || Self->Closed)
                         return;
                       Self->Readable = true;
+                      Self->ReadableAt = Self->Loop.now();
                       if (Self->HandlerRunning)
                         Self->checkDisconnect();
                       Self->ReadEvent.set();
@@ -192,7 +197,7 @@
       Buffer.size() > 0 ||
       readMore(Loop.now() + Options.IdleTimeout) == ReadResult::Bytes;
   LatestCaller.reset();
-  ArrivedAt = Loop.now();
+  ArrivedAt = ReadableAt;
   return Received;
 }
 
@@ -302,7 +307,7 @@
   Parser.eager(true);
   Parser.body_limit(Options.MaxBodyBytes);
   Parser.header_limit(static_cast<uint32_t>(Options.MaxHeaderBytes));
-  MonotonicTime Deadline = ArrivedAt + Options.RequestTimeout;
+  MonotonicTime Deadline = Loop.now() + Options.RequestTimeout;
   ContinueSent = false;
   while (true) {
     error_code Failure;
--- a/runtime/runtime_test.cpp
+++ b/runtime/runtime_test.cpp
@@ -6,9 +6,11 @@
 #include "runtime/peer.h"
 #include "runtime/settings.h"
 
+#include <arpa/inet.h>
 #include <fstream>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace mimosa {
@@ -63,6 +65,21 @@
   });
 }
 
+/// Opens a blocking connection to \p Address ("ip:port").
+int connectTo(const std::string &Address) {
+  size_t Colon = Address.rfind(':');
+  sockaddr_in Endpoint{};
+  Endpoint.sin_family = AF_INET;
+  Endpoint.sin_port =
+      htons(static_cast<uint16_t>(std::stoi(Address.substr(Colon + 1))));
+  inet_pton(AF_INET, Address.substr(0, Colon).c_str(), &Endpoint.sin_addr);
+  int Socket = socket(AF_INET, SOCK_STREAM, 0);
+  EXPECT_EQ(connect(Socket, reinterpret_cast<sockaddr *>(&Endpoint),
+                    sizeof(Endpoint)),
+            0);
+  return Socket;
+}
+
 class EchoHandler : public HttpHandler {
 public:
   explicit EchoHandler(FiberLoop &Loop) : Loop(Loop) {}
@@ -157,6 +174,46 @@
   });
 }
 
+/// Takes 300 ms for each request and keeps the time at which it arrived.
+class SlowHandler : public HttpHandler {
+public:
+  static constexpr Duration WorkTime = Milliseconds(300);
+  HttpResponse handle(const HttpRequest &Request,
+                      const std::shared_ptr<CallerConnection> &) override {
+    Arrivals.push_back(Request.ArrivedAt);
+    FiberLoop::sleepFor(WorkTime);
+    return {200, "text/plain", ""};
+  }
+  std::vector<MonotonicTime> Arrivals;
+};
+
+// Guards against a deadline that is counted from the end of the request before
+// on the same connection.
+TEST(Http, PipelinedRequestArrivesBeforeTheFirstIsAnswered) {
+  runInChildProcess([](FiberLoop &Loop) {
+    SlowHandler Handler;
+    HttpServer Server(Loop, testOptions(), Handler);
+    ASSERT_TRUE(ok(Server.start()));
+    int Client = connectTo(HttpAddress);
+    const std::string Request = "GET /q HTTP/1.1\r\nHost: h\r\n\r\n";
+    for (bool Together : {false, true}) {
+      Handler.Arrivals.clear();
+      MonotonicTime Begin = Loop.now();
+      std::string First = Together ? Request + Request : Request;
+      ASSERT_GT(send(Client, First.data(), First.size(), 0), 0);
+      FiberLoop::sleepFor(Milliseconds(50));
+      if (!Together) {
+        ASSERT_GT(send(Client, Request.data(), Request.size(), 0), 0);
+      }
+      FiberLoop::sleepFor(2 * SlowHandler::WorkTime);
+      ASSERT_EQ(Handler.Arrivals.size(), 2u);
+      EXPECT_LT(Handler.Arrivals[1] - Begin, Duration(Milliseconds(150)))
+          << (Together ? "in one packet" : "50 ms later");
+    }
+    close(Client);
+  });
+}
+
 class EchoPeer : public PeerHandler {
 public:
   bool handleFrame(const PeerFrame &Frame, PeerReplier Reply) override {
--- a/tools/entry_test.py
+++ b/tools/entry_test.py
@@ -116,6 +116,24 @@
         for _ in range(20):
             self.assert_complete_answer()
 
+    def test_request_that_waited_beyond_its_deadline_is_refused_unrun(self) -> None:
+        # Guards against a request that runs after its deadline because it waited behind another.
+        for searcher in self.accounts:
+            searcher.delay_s = 0.6
+        host, port = self.entry.caller_address.split(":")
+        with socket.create_connection((host, int(port)), timeout=10) as connection:
+            for request_id, deadline_ms in (("t-first", 4000), ("t-waits", 300)):
+                connection.sendall(
+                    "GET /one/1 HTTP/1.1\r\nHost: h.example\r\n"
+                    f"Attempt-Id: {request_id}\r\nDeadline-Ms: {deadline_ms}\r\n\r\n".encode())
+            received = b""
+            while received.count(b"HTTP/1.1 ") < 2:
+                received += connection.recv(4096)
+        self.assertIn(b"HTTP/1.1 503", received)
+        self.assertIn(b"Retry-After: ", received)
+        runs = [run[0] for searcher in self.accounts for run in searcher.runs]
+        self.assertEqual(runs, ["t-first"])
+
     def test_single_request_is_forwarded_unchanged(self) -> None:
         # Guards against a changed body, a second run or a missing Server-Stamp.
         for chunked in (False, True):
