State the time left when a request is written, not when it is queued

A request whose connection opens late, because the backend server's queue of new connections is full and the kernel repeats the opening packet after 1 s and more, told its backend server the time that was left before that wait. Change: a channel encodes a request only once its connection is established.

--- a/balance/call_scheduler.cpp
+++ b/balance/call_scheduler.cpp
@@ -192,8 +192,7 @@
   } else {
     setWakeUp(It->first, Call, Request.Deadline);
   }
-  Transport.send(Id, Server, Request, Request.Deadline - Now,
-                 !Request.Idempotent);
+  Transport.send(Id, Server, Request, !Request.Idempotent);
 }
 
 void CallScheduler::tryHedge(CallMap::iterator It, MonotonicTime Now) {
--- a/balance/call_scheduler.h
+++ b/balance/call_scheduler.h
@@ -56,11 +56,12 @@
 class BackendTransport {
 public:
   virtual ~BackendTransport() = default;
-  /// If \p FreshConnection is set, uses a connection that has not been idle for
-  /// long and is therefore unlikely to break: the request could not be retried.
+  /// The backend server is told the time that is left when the request is
+  /// written. If \p FreshConnection is set, uses a connection that has not been
+  /// idle for long and is therefore unlikely to break: the request could not be
+  /// retried.
   virtual void send(AttemptId Id, const BackendServerPtr &Server,
-                    const CallRequest &Request, Duration TimeLeft,
-                    bool FreshConnection) = 0;
+                    const CallRequest &Request, bool FreshConnection) = 0;
   /// Ends the attempt and closes its connection.
   virtual void cancel(AttemptId Id) = 0;
 };
--- a/balance/call_scheduler_test.cpp
+++ b/balance/call_scheduler_test.cpp
@@ -30,7 +30,7 @@
   };
 
   void send(AttemptId Id, const BackendServerPtr &To, const CallRequest &,
-            Duration, bool FreshConnection) override {
+            bool FreshConnection) override {
     Server &Target = Servers[To->entry().Id.text()];
     ++Target.Arrivals;
     FreshConnections += FreshConnection ? 1 : 0;
--- a/entry/backend_connection_pool.cpp
+++ b/entry/backend_connection_pool.cpp
@@ -70,7 +70,7 @@
 }
 
 void BackendConnectionPool::send(AttemptId Id, const BackendServerPtr &Server,
-                                 const CallRequest &Request, Duration TimeLeft,
+                                 const CallRequest &Request,
                                  bool FreshConnection) {
   // The answer to a request without an id can only be the first one on its
   // connection.
@@ -90,7 +90,10 @@
   ++C.Exchanges;
   ActiveChannels[Id] = Channel;
   Channel->exchange(
-      encodeBackendRequest(*Request.Message, TimeLeft, Server->entry().Id),
+      [this, Message = Request.Message, Deadline = Request.Deadline, Server] {
+        return encodeBackendRequest(*Message, Deadline - Loop.now(),
+                                    Server->entry().Id);
+      },
       Request.Message->IsHeadRequest, Request.MaxAnswerBytes);
 }
 
@@ -100,7 +103,8 @@
     return;
   HttpChannel *Channel = Found->second;
   ActiveChannels.erase(Found);
-  if (size_t Unacknowledged = Channel->unacknowledgedBytes()) {
+  size_t Unacknowledged = Channel->unacknowledgedBytes();
+  if (!Channel->connected() || Unacknowledged > 0) {
     ++Counters.CancelledUndelivered;
     const Connection &C = Connections.at(Channel);
     logRequest("backend",
--- a/entry/backend_connection_pool.h
+++ b/entry/backend_connection_pool.h
@@ -57,8 +57,7 @@
   void setKeepIdle(bool NewKeepIdle) { KeepIdle = NewKeepIdle; }
 
   void send(AttemptId Id, const BackendServerPtr &Server,
-            const CallRequest &Request, Duration TimeLeft,
-            bool FreshConnection) override;
+            const CallRequest &Request, bool FreshConnection) override;
   void cancel(AttemptId Id) override;
 
   /// Closes idle connections that their backend server is about to close, or
--- a/model/host_model.cpp
+++ b/model/host_model.cpp
@@ -59,7 +59,7 @@
 }
 
 void HostModel::send(AttemptId Id, const BackendServerPtr &Server,
-                     const CallRequest &Request, Duration, bool) {
+                     const CallRequest &Request, bool) {
   OpenAttempt &Attempt = Open[Id];
   Attempt.NetworkTime = Pattern.NetworkTime;
   if (Server->entry().Zone != Zone)
--- a/model/host_model.h
+++ b/model/host_model.h
@@ -37,8 +37,7 @@
   };
 
   void send(AttemptId Id, const BackendServerPtr &Server,
-            const CallRequest &Request, Duration TimeLeft,
-            bool FreshConnection) override;
+            const CallRequest &Request, bool FreshConnection) override;
   void cancel(AttemptId Id) override;
   /// The reply to an attempt has reached the host.
   void receive(AttemptId Id, ServerReply Reply);
--- a/runtime/http_channel.cpp
+++ b/runtime/http_channel.cpp
@@ -28,7 +28,7 @@
       : Socket(Io), Events(Events), BodyShare(Budget) {}
 
   void connect(const tcp::endpoint &Endpoint);
-  void exchange(std::string NewRequest, bool IsHead,
+  void exchange(RequestEncoder NewEncode, bool IsHead,
                 size_t NewMaxBodyBytes) override;
   void close() override;
   void abort() override;
@@ -62,6 +62,8 @@
   HttpChannelEvents &Events;
   beast::flat_buffer Buffer;
   std::optional<ResponseParser> Parser;
+  RequestEncoder Encode;
+  /// Empty until the connection is established.
   std::string Request;
   size_t Written = 0;
   size_t MaxBodyBytes = 0;
@@ -96,8 +98,10 @@
   if (Failure)
     return closeWith(ChannelCloseReason::NothingSent);
   Connected = true;
-  if (Busy)
+  if (Busy) {
+    Request = Encode();
     write();
+  }
   if (!Closed)
     waitReadable();
 }
@@ -110,9 +114,10 @@
   Parser->skip(IsHeadRequest);
 }
 
-void Channel::exchange(std::string NewRequest, bool IsHead,
+void Channel::exchange(RequestEncoder NewEncode, bool IsHead,
                        size_t NewMaxBodyBytes) {
-  Request = std::move(NewRequest);
+  Encode = std::move(NewEncode);
+  Request.clear();
   Written = 0;
   MaxBodyBytes = NewMaxBodyBytes;
   UnexpectedResponses = 0;
@@ -123,6 +128,7 @@
     return;
   // Events must not be reported before exchange() has returned.
   error_code Failure;
+  Request = Encode();
   Written = Socket.write_some(asio::buffer(Request), Failure);
   if (Failure && Failure != asio::error::would_block)
     asio::post(Socket.get_executor(), [Self = self()] {
--- a/runtime/http_channel.h
+++ b/runtime/http_channel.h
@@ -1,9 +1,10 @@
 // An HTTP/1.1 client connection that reports events to callbacks, for programs
-// with many requests in flight. A request is passed as encoded bytes; a channel
-// runs one at a time.
+// with many requests in flight. A channel runs one request at a time. It
+// encodes the request only once the connection is established, since a request
+// may state how much time is left.
 //
 //   auto Channel = HttpChannel::open(Loop, Address, Events, Budget);
-//   Channel->exchange(Bytes, false, MaxBodyBytes);
+//   Channel->exchange([=] { return encode(Deadline - now()); }, false, Limit);
 //
 // A channel waits for its socket to become readable before each read, so that
 // an exchange usually takes one write, one wait and one read.
@@ -41,6 +42,9 @@
 
 class HttpChannel;
 
+/// Returns the bytes of a request that is sent now.
+using RequestEncoder = std::function<std::string()>;
+
 /// Event handlers of channels.
 class HttpChannelEvents {
 public:
@@ -67,11 +71,11 @@
                                                    ReceiveBudget &Budget);
   virtual ~HttpChannel();
 
-  /// Sends \p Request as soon as the connection is established. No other
-  /// request may be running. A response with a body of more than
+  /// Sends what \p Encode returns as soon as the connection is established. No
+  /// other request may be running. A response with a body of more than
   /// \p MaxBodyBytes is malformed. Events are reported only after exchange()
   /// has returned.
-  virtual void exchange(std::string Request, bool IsHeadRequest,
+  virtual void exchange(RequestEncoder Encode, bool IsHeadRequest,
                         size_t MaxBodyBytes) = 0;
   /// Closes the connection; no event is reported. Bytes that are still waiting
   /// to be sent are sent.
@@ -82,7 +86,8 @@
 
   /// Whether the connection is established.
   virtual bool connected() const = 0;
-  /// Bytes of the current request that the server has not acknowledged.
+  /// Bytes of the current request that the server has not acknowledged; 0 while
+  /// the connection is not established.
   virtual size_t unacknowledgedBytes() = 0;
 };
 
