Read and log the limits that backend servers state

The logs could not tell whether a stated limit is ignored, divided by the wrong number of hosts, or passed by hedges and retries. The model's backend servers can state limits. No decision uses any of it yet.

--- a/balance/backend_server.h
+++ b/balance/backend_server.h
@@ -21,6 +21,7 @@
 #ifndef MIMOSA_BALANCE_BACKEND_SERVER_H
 #define MIMOSA_BALANCE_BACKEND_SERVER_H
 
+#include "balance/server_pushback.h"
 #include "base/ids.h"
 #include "base/time.h"
 
@@ -90,6 +91,9 @@
   void recordStall(double Relative, MonotonicTime Now);
   void recordFailure(BackendFailure Failure, MonotonicTime Now);
 
+  ServerPushback &pushback() { return Pushback; }
+  const ServerPushback &pushback() const { return Pushback; }
+
   uint32_t inFlight() const { return static_cast<uint32_t>(SentTimes.size()); }
   /// Expected latency of one more request, relative to the typical latency.
   /// \p TypicalLatency shows whether requests in flight are overdue.
@@ -118,6 +122,7 @@
   /// that one, and count there as an extra arrival. Reset by the next report of
   /// this one.
   bool Replaced = false;
+  ServerPushback Pushback;
   MonotonicTime ColdUntil;
   double RelativeLatency = 1;
   MonotonicTime LatencyAt;
--- a/balance/call_scheduler.cpp
+++ b/balance/call_scheduler.cpp
@@ -174,7 +174,8 @@
   New.Idempotent = Request.Idempotent;
   AttemptWakeUps.insert({New.ExpiresAt, Id});
   Attempts.emplace(Id, std::move(New));
-  Server->recordSend(Now);
+  Counters.AttemptsOverLimit += Registry.heldBack(*Server, Now) ? 1 : 0;
+  Registry.recordSend(*Server, Now);
   ++Counters.Attempts;
   ++Call.AttemptCount;
   Call.OpenAttempts.push_back(Id);
@@ -259,6 +260,9 @@
   AttemptState Attempt;
   auto It = closeAttempt(Found, Attempt);
   ServiceId Service = Attempt.Server->entry().Service;
+  // A misdirected answer is that of another backend server.
+  if (!Answer.Misdirected)
+    Registry.recordNotice(*Attempt.Server, Answer.Notice, Attempt.SentAt, Now);
   if (Answer.success()) {
     recordLatency(Attempt, Now);
   } else if (Answer.Misdirected) {
--- a/balance/call_scheduler.h
+++ b/balance/call_scheduler.h
@@ -70,6 +70,9 @@
 struct CallCounters {
   uint64_t Calls = 0;
   uint64_t Attempts = 0;
+  /// Attempts beyond this host's share of a rate limit that the backend server
+  /// has stated.
+  uint64_t AttemptsOverLimit = 0;
   uint64_t Hedges = 0;
   /// Hedges whose answer was the result of the call.
   uint64_t HedgesWon = 0;
--- /dev/null
+++ b/balance/server_pushback.cpp
@@ -0,0 +1,67 @@
+#include "balance/server_pushback.h"
+
+#include <algorithm>
+
+namespace mimosa {
+
+namespace {
+
+/// Share of a limit that is used. The rest covers requests that arrive closer
+/// together than they were sent.
+constexpr double LimitShare = 0.95;
+/// A host may send as many requests at once as are due in this time.
+constexpr Duration BurstTime = Milliseconds(500);
+/// A lower limit counts as this one, since only an answer can show that it is
+/// lifted.
+constexpr double MinLimitPerSecond = 0.5;
+/// A higher limit has no effect, and intervals would have no length.
+constexpr double MaxLimitPerSecond = 100000;
+
+} // namespace
+
+Duration ServerPushback::interval(RequestRate Limit, uint32_t HostCount) {
+  double PerSecond =
+      std::clamp(Limit.PerSecond, MinLimitPerSecond, MaxLimitPerSecond);
+  return scaled(Seconds(1), HostCount / (PerSecond * LimitShare));
+}
+
+Duration ServerPushback::burstTolerance(Duration Interval) {
+  return std::max<Duration>(BurstTime - Interval, Duration(0));
+}
+
+void ServerPushback::record(const ServerNotice &Notice, MonotonicTime SentAt,
+                            uint32_t HostCount, double Phase,
+                            MonotonicTime Now) {
+  if (Notice.Limit) {
+    Duration Interval = interval(*Notice.Limit, HostCount);
+    Duration Tolerance = burstTolerance(Interval);
+    if (!Limit)
+      NextDueAt = Now + Tolerance + scaled(Interval, Phase);
+    else
+      NextDueAt = std::min(NextDueAt, Now + Tolerance + Interval);
+    Changes += Limit != Notice.Limit ? 1 : 0;
+    Limit = Notice.Limit;
+    LimitStatedAt = Now;
+  } else if (Limit && !Notice.LimitUnreadable && SentAt > LimitStatedAt) {
+    Limit.reset();
+    ++Changes;
+  }
+}
+
+void ServerPushback::recordSend(uint32_t HostCount, MonotonicTime Now) {
+  if (Limit)
+    NextDueAt = std::max(NextDueAt, Now) + interval(*Limit, HostCount);
+}
+
+MonotonicTime ServerPushback::nextSendAt(uint32_t HostCount) const {
+  if (!Limit)
+    return MonotonicTime::min();
+  return NextDueAt - burstTolerance(interval(*Limit, HostCount));
+}
+
+std::string ServerPushback::describe() const {
+  return "limit_per_s=" +
+         (Limit ? std::to_string(Limit->PerSecond) : std::string("none"));
+}
+
+} // namespace mimosa
--- a/balance/server_registry.cpp
+++ b/balance/server_registry.cpp
@@ -118,6 +118,32 @@
   return std::min(Limit, connectionLimit(Server));
 }
 
+void ServerRegistry::recordSend(BackendServer &Server,
+                                MonotonicTime Now) const {
+  Server.recordSend(Now);
+  Server.pushback().recordSend(HostCount, Now);
+}
+
+void ServerRegistry::recordNotice(BackendServer &Server,
+                                  const ServerNotice &Notice,
+                                  MonotonicTime SentAt,
+                                  MonotonicTime Now) const {
+  double Phase = Notice.Limit ? Rng.uniform01() : 0;
+  Server.pushback().record(Notice, SentAt, HostCount, Phase, Now);
+}
+
+bool ServerRegistry::heldBack(const BackendServer &Server,
+                              MonotonicTime Now) const {
+  return Now < Server.pushback().nextSendAt(HostCount);
+}
+
+size_t ServerRegistry::limitedServers() const {
+  return static_cast<size_t>(
+      std::count_if(ById.begin(), ById.end(), [](const auto &Entry) {
+        return Entry.second->pushback().limit().has_value();
+      }));
+}
+
 double ServerRegistry::leastRelativeLatency(const ServiceId &Service,
                                             MonotonicTime Now) const {
   double Least = std::numeric_limits<double>::max();
--- a/balance/server_registry.h
+++ b/balance/server_registry.h
@@ -70,6 +70,18 @@
   /// backend server in a second: its rate times \p Overage plus \p Slack.
   void setColdAllowance(double Overage, double Slack);
 
+  /// Records that a request is sent to \p Server.
+  void recordSend(BackendServer &Server, MonotonicTime Now) const;
+  /// Records what \p Server says of itself in the answer to a request that was
+  /// sent at \p SentAt.
+  void recordNotice(BackendServer &Server, const ServerNotice &Notice,
+                    MonotonicTime SentAt, MonotonicTime Now) const;
+  /// Whether one more request to \p Server would exceed this host's share of
+  /// the rate that the backend server has asked for.
+  bool heldBack(const BackendServer &Server, MonotonicTime Now) const;
+  /// Number of backend servers that limit the rate of requests.
+  size_t limitedServers() const;
+
   /// The backend server for one more request; null if none can take it now.
   BackendServerPtr choose(const ServiceId &Service,
                           const ServerCriteria &Criteria,
--- a/entry/backend_connection_pool.cpp
+++ b/entry/backend_connection_pool.cpp
@@ -168,7 +168,13 @@
                    " server=" + C.Server->entry().Id.text() +
                    " address=" + C.Server->entry().Address +
                    " sequence=" + std::to_string(C.Server->entry().Sequence));
+  if (Decoded.Answer.Notice.LimitUnreadable)
+    logRequest("backend",
+               "event=unreadable_limit request=" + C.RequestId.text() +
+                   " server=" + C.Server->entry().Id.text());
   AttemptId Id = C.Attempt;
+  BackendServerPtr Server = C.Server;
+  CallerRequestId RequestId = C.RequestId;
   ActiveChannels.erase(Id);
   if (Decoded.Id == IdState::Missing) {
     ++Counters.AnswersWithoutId;
@@ -184,7 +190,14 @@
     Channel.close();
     removeConnection(&Channel);
   }
+  uint64_t ChangesBefore = Server->pushback().changes();
   Scheduler->onAnswered(Id, std::move(Decoded.Answer), Loop.now());
+  if (Server->pushback().changes() != ChangesBefore)
+    logInfo("backend", "event=pushback server=" + Server->entry().Id.text() +
+                           " service=" + Server->entry().Service.text() +
+                           " request=" + RequestId.text() +
+                           " hosts=" + std::to_string(Registry.hostCount()) +
+                           " " + Server->pushback().describe());
   return true;
 }
 
--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -41,6 +41,7 @@
 constexpr CallCounterGauge CallCounterGauges[] = {
     {"mimosa_calls_total", &CallCounters::Calls},
     {"mimosa_sends_total", &CallCounters::Attempts},
+    {"mimosa_sends_over_limit_total", &CallCounters::AttemptsOverLimit},
     {"mimosa_hedges_total", &CallCounters::Hedges},
     {"mimosa_hedges_won_total", &CallCounters::HedgesWon},
     {"mimosa_retries_total", &CallCounters::Retries},
@@ -130,6 +131,8 @@
   Gauge("mimosa_backend_connections",
         [](Node &N) { return N.ConnectionPool.openConnections(); });
   Gauge("mimosa_backend_servers", [](Node &N) { return N.Registry.size(); });
+  Gauge("mimosa_backend_servers_limited",
+        [](Node &N) { return N.Registry.limitedServers(); });
   Gauge("mimosa_sharing_hosts", [](Node &N) { return N.Registry.hostCount(); });
   Gauge("mimosa_requests_in_flight",
         [](Node &N) { return N.Service.inFlight(); });
--- a/model/host_model.cpp
+++ b/model/host_model.cpp
@@ -94,12 +94,13 @@
 void HostModel::receive(AttemptId Id, ServerReply Reply) {
   if (Open.erase(Id) == 0)
     return;
-  if (Reply == ServerReply::ConnectionRefused) {
+  if (Reply.Outcome == ServerOutcome::ConnectionRefused) {
     Scheduler.onNotSent(Id, Queue.now());
   } else {
     BackendAnswer Answer;
-    Answer.Status = Reply == ServerReply::Success ? 200 : 503;
-    Answer.NotRun = Reply == ServerReply::NotRun;
+    Answer.Status = Reply.Outcome == ServerOutcome::Success ? 200 : 503;
+    Answer.NotRun = Reply.Outcome == ServerOutcome::NotRun;
+    Answer.Notice = Reply.Notice;
     Answer.Signature = "signed";
     Scheduler.onAnswered(Id, std::move(Answer), Queue.now());
   }
--- a/model/load_pattern.cpp
+++ b/model/load_pattern.cpp
@@ -17,11 +17,12 @@
 constexpr int64_t MaxCount = 100000;
 constexpr double MaxFactor = 10000;
 
-constexpr std::array<std::pair<const char *, ModelEventKind>, 5> EventKinds = {{
+constexpr std::array<std::pair<const char *, ModelEventKind>, 6> EventKinds = {{
     {"slow", ModelEventKind::Slow},
     {"shed", ModelEventKind::Shed},
     {"silent", ModelEventKind::Silent},
     {"crash", ModelEventKind::Crash},
+    {"limit", ModelEventKind::Limit},
     {"burst", ModelEventKind::Burst},
 }};
 
@@ -153,7 +154,7 @@
   if (Found == EventKinds.end())
     Fields.fail(ResultCode::BadField,
                 Fields.path() +
-                    ".kind must be slow, shed, silent, crash or "
+                    ".kind must be slow, shed, silent, crash, limit or "
                     "burst, not \"" +
                     Kind + "\"");
   else
--- a/model/server_model.cpp
+++ b/model/server_model.cpp
@@ -26,16 +26,17 @@
 ServerModel::RequestKey ServerModel::arrive(Duration Work,
                                             ReplyFunction Reply) {
   RequestKey Key = ++LastKey;
+  Arrivals.push_back(Queue.now());
   if (Silent)
     return Key;
   if (Crashed) {
-    Reply(ServerReply::ConnectionRefused);
+    Reply({ServerOutcome::ConnectionRefused, {}});
     return Key;
   }
   bool Full =
       Running.size() >= Service.Slots && Waiting.size() >= Service.QueueLimit;
   if (Full || Rng.uniform01() < ShedShare) {
-    Reply(ServerReply::NotRun);
+    Reply({ServerOutcome::NotRun, Notice});
     return Key;
   }
   Waiting.push_back({Key, Work, std::move(Reply)});
@@ -49,14 +50,16 @@
     Waiting.pop_front();
     Running.insert(Next.Key);
     Duration Work = scaled(Next.Work, Service.WorkFactor * SlowFactor);
-    Queue.add(endOfWork(Queue.now(), Work), [this, Key = Next.Key,
-                                             Reply = std::move(Next.Reply)] {
-      if (Running.erase(Key) == 0)
-        return;
-      if (!Silent)
-        Reply(Crashed ? ServerReply::ConnectionRefused : ServerReply::Success);
-      startNext();
-    });
+    Queue.add(endOfWork(Queue.now(), Work),
+              [this, Key = Next.Key, Reply = std::move(Next.Reply)] {
+                if (Running.erase(Key) == 0)
+                  return;
+                if (!Silent)
+                  Reply({Crashed ? ServerOutcome::ConnectionRefused
+                                 : ServerOutcome::Success,
+                         Notice});
+                startNext();
+              });
   }
 }
 
@@ -82,6 +85,11 @@
   case ModelEventKind::Crash:
     Crashed = Active;
     break;
+  case ModelEventKind::Limit:
+    Notice.Limit.reset();
+    if (Active)
+      Notice.Limit = RequestRate{Event.Factor};
+    break;
   case ModelEventKind::Burst:
     break;
   }
--- a/model/server_model.h
+++ b/model/server_model.h
@@ -7,13 +7,19 @@
 #include "base/random.h"
 #include "model/event_queue.h"
 #include "model/load_pattern.h"
+#include "routing/caller_request.h"
 
 #include <deque>
 #include <set>
 
 namespace mimosa {
 
-enum class ServerReply { Success, NotRun, ConnectionRefused };
+enum class ServerOutcome { Success, NotRun, ConnectionRefused };
+
+struct ServerReply {
+  ServerOutcome Outcome = ServerOutcome::Success;
+  ServerNotice Notice;
+};
 
 class ServerModel {
 public:
@@ -34,6 +40,9 @@
   /// The connection of a request was closed: it frees its place.
   void cancel(RequestKey Key);
 
+  /// When each request has arrived.
+  const std::vector<MonotonicTime> &arrivals() const { return Arrivals; }
+
   /// Begins or ends a fault.
   void setFault(const ModelEvent &Event, bool Active);
 
@@ -56,6 +65,9 @@
   double ShedShare = 0;
   bool Silent = false;
   bool Crashed = false;
+  /// What it states in its answers.
+  ServerNotice Notice;
+  std::vector<MonotonicTime> Arrivals;
   RequestKey LastKey = 0;
   std::set<RequestKey> Running;
   std::deque<Request> Waiting;
--- a/model/simulation.h
+++ b/model/simulation.h
@@ -60,6 +60,10 @@
   /// Runs the pattern to its end; must be called once.
   std::vector<RequestRecord> run();
 
+  const ServerModel &server(const BackendServerId &Id) const {
+    return *Servers.at(Id);
+  }
+
 private:
   class Query;
 
--- a/routing/caller_request.h
+++ b/routing/caller_request.h
@@ -6,8 +6,10 @@
 
 #include "base/http_header.h"
 #include "base/ids.h"
+#include "base/rate.h"
 #include "base/time.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,6 +29,15 @@
   std::string Body;
 };
 
+/// What a backend server says of itself in the headers of an answer.
+struct ServerNotice {
+  /// Requests that it accepts from all hosts together; empty if it states no
+  /// limit.
+  std::optional<RequestRate> Limit;
+  /// It states a limit that could not be read.
+  bool LimitUnreadable = false;
+};
+
 /// A backend server's complete answer to one request.
 struct BackendAnswer {
   int Status = 0;
@@ -41,6 +52,7 @@
   bool Misdirected = false;
   /// The body is encoded, although the request did not accept an encoding.
   bool UnexpectedEncoding = false;
+  ServerNotice Notice;
   /// Headers to forward unchanged.
   std::vector<HttpHeader> Headers;
   std::string Body;
