Keep the limits that backend servers state, over all hosts

Cause: no code read the limit; backend servers were chosen by latency, requests in flight and connections only. Class: a limit that belongs to all hosts together is known to each, and none counts against it.

Change: each host keeps its share of the limit by a token bucket, which every choice of a backend server asks at the moment of sending: first attempts, retries, hedges and queued calls. A call waits for the next request that is allowed if it can still be useful; otherwise it, or the whole query before any of its calls, is refused at once with a Retry-After that follows from the limits. Queued calls are sent when a limit allows it, not only when another call ends. The other hypotheses: the log lines show 8 hosts, and 6 or 7 on one that has just started; hedges and retries ask the same bucket.

--- a/balance/call.cpp
+++ b/balance/call.cpp
@@ -10,6 +10,8 @@
     return "unavailable";
   case CallReason::Overloaded:
     return "overloaded";
+  case CallReason::HeldBack:
+    return "held_back";
   case CallReason::Deadline:
     return "deadline";
   case CallReason::Lost:
--- a/balance/call.h
+++ b/balance/call.h
@@ -46,7 +46,16 @@
 };
 
 /// Why a call ended without an answer, for logs and refusals.
-enum class CallReason { None, Unavailable, Overloaded, Deadline, Lost, Shed };
+enum class CallReason {
+  None,
+  Unavailable,
+  Overloaded,
+  /// The backend servers limit the rate of requests.
+  HeldBack,
+  Deadline,
+  Lost,
+  Shed
+};
 const char *callReasonName(CallReason Reason);
 
 struct CallResult {
--- a/balance/call_queue.cpp
+++ b/balance/call_queue.cpp
@@ -24,22 +24,65 @@
   return Queue;
 }
 
+size_t CallScheduler::callsAhead(const ServiceId &Service,
+                                 uint32_t Priority) const {
+  auto Found = Queues.find(Service);
+  if (Found == Queues.end())
+    return 0;
+  const auto &Waiting = Found->second.Waiting;
+  return static_cast<size_t>(
+      std::count_if(Waiting.begin(), Waiting.end(), [&](const auto &Entry) {
+        return Entry.first.first <= Priority;
+      }));
+}
+
+MonotonicTime CallScheduler::expectedSendAt(const ServiceId &Service,
+                                            uint32_t Priority,
+                                            MonotonicTime Now) const {
+  return expectedSendAt(Service, Priority, {}, Now);
+}
+
+MonotonicTime
+CallScheduler::expectedSendAt(const ServiceId &Service, uint32_t Priority,
+                              const std::vector<BackendServerPtr> &Tried,
+                              MonotonicTime Now) const {
+  MonotonicTime Earliest = Registry.earliestSendAt(Service, Tried, Now);
+  if (Earliest == MonotonicTime::max())
+    return Earliest;
+  double PerSecond = 0;
+  for (const BackendServerPtr &Server : Registry.servers(Service)) {
+    if (!Registry.usable(*Server) || Server->ejected())
+      continue;
+    Duration Interval = Server->pushback().sendInterval(Registry.hostCount());
+    if (Interval == Duration(0))
+      return Earliest;
+    PerSecond += 1 / inSeconds(Interval);
+  }
+  if (PerSecond == 0)
+    return Earliest;
+  auto Ahead = static_cast<double>(callsAhead(Service, Priority));
+  return Earliest + scaled(Seconds(1), Ahead / PerSecond);
+}
+
 bool CallScheduler::wouldFinishTooLate(const CallState &Call,
                                        MonotonicTime Now) {
   const CallRequest &Request = Call.Request;
-  // Queued calls that are sent before this one.
-  size_t Ahead = 0;
-  for (const auto &[Key, Id] : queue(Request.Service).Waiting)
-    Ahead += Key.first <= Request.Priority ? 1 : 0;
+  size_t Ahead = callsAhead(Request.Service, Request.Priority);
   if (Ahead < MinQueueLength)
     return false;
+  auto Median = inSeconds(typicalLatency(Request));
   // Number of calls that the backend servers run within the typical latency.
   double Capacity = 0;
-  for (const BackendServerPtr &Server : Registry.servers(Request.Service))
-    if (Registry.usable(*Server) && !Server->ejected())
-      Capacity += Registry.inFlightLimit(*Server, Now) /
+  for (const BackendServerPtr &Server : Registry.servers(Request.Service)) {
+    if (!Registry.usable(*Server) || Server->ejected())
+      continue;
+    double Runs = Registry.inFlightLimit(*Server, Now) /
                   std::max(1.0, Server->relativeLatency(Now));
-  auto Median = inSeconds(typicalLatency(Request));
+    Duration Interval = Server->pushback().sendInterval(Registry.hostCount());
+    if (Interval > Duration(0))
+      Runs = std::min(Runs, Median / inSeconds(Interval));
+    Capacity += Runs;
+  }
   double Rounds = static_cast<double>(Ahead) / std::max(MinCapacity, Capacity);
   return (Rounds + 1) * Median > inSeconds(Request.UsefulUntil - Now);
 }
@@ -50,16 +93,40 @@
 
 void CallScheduler::enqueue(CallMap::iterator It, MonotonicTime Now) {
   CallState &Call = It->second;
+  const CallRequest &Request = Call.Request;
+  MonotonicTime SendAt =
+      expectedSendAt(Request.Service, Request.Priority, Call.TriedServers, Now);
+  if (SendAt > Now && SendAt > latestSendTime(Request)) {
+    ++Counters.HeldBackCalls;
+    return endWithoutSuccess(It, CallReason::HeldBack, Now);
+  }
   if (wouldFinishTooLate(Call, Now)) {
     ++Counters.OverloadedCalls;
     return endWithoutSuccess(It, CallReason::Overloaded, Now);
   }
   ++Counters.QueuedCalls;
   Call.Waiting = true;
-  setWakeUp(It->first, Call, latestSendTime(Call.Request));
-  queue(Call.Request.Service)
-      .Waiting.emplace(WaitKey{Call.Request.Priority, It->first.number()},
+  setWakeUp(It->first, Call, latestSendTime(Request));
+  queue(Request.Service)
+      .Waiting.emplace(WaitKey{Request.Priority, It->first.number()},
                        It->first);
+  setQueueWakeUp(Request.Service, Now);
+}
+
+void CallScheduler::setQueueWakeUp(const ServiceId &Service,
+                                   MonotonicTime Now) {
+  ServiceQueue &Queue = queue(Service);
+  MonotonicTime At = Queue.Waiting.empty()
+                         ? MonotonicTime::max()
+                         : Registry.nextReleaseAt(Service, Now);
+  if (At == Queue.WakeUpAt)
+    return;
+  QueueWakeUps.erase({Queue.WakeUpAt, Service});
+  Queue.WakeUpAt = At;
+  if (At == MonotonicTime::max())
+    return;
+  QueueWakeUps.insert({At, Service});
+  notifyEarlierWakeUp(At);
 }
 
 void CallScheduler::dequeue(CallState &Call, CallId Id) {
@@ -80,7 +147,7 @@
     bool IsRetry = !Call.TriedServers.empty();
     BackendServerPtr Server = choose(Call, Now);
     if (!Server && !IsRetry)
-      return;
+      break;
     // Other calls may still use the backend servers that refused this one.
     if (!Server)
       continue;
@@ -90,6 +157,7 @@
     else
       sendTo(It, Server, false, Now);
   }
+  setQueueWakeUp(Service, Now);
 }
 
 size_t CallScheduler::waitingCalls(const ServiceId &Service) const {
--- a/balance/call_scheduler.cpp
+++ b/balance/call_scheduler.cpp
@@ -390,6 +390,8 @@
     Next = CallWakeUps.begin()->first;
   if (!AttemptWakeUps.empty())
     Next = std::min(Next, AttemptWakeUps.begin()->first);
+  if (!QueueWakeUps.empty())
+    Next = std::min(Next, QueueWakeUps.begin()->first);
   AnnouncedWakeUp = Next;
   return Next;
 }
@@ -397,6 +399,8 @@
 void CallScheduler::onTimer(MonotonicTime Now) {
   while (!AttemptWakeUps.empty() && AttemptWakeUps.begin()->first <= Now)
     expire(Attempts.find(AttemptWakeUps.begin()->second), Now);
+  while (!QueueWakeUps.empty() && QueueWakeUps.begin()->first <= Now)
+    sendWaiting(ServiceId(QueueWakeUps.begin()->second), Now);
   while (!CallWakeUps.empty() && CallWakeUps.begin()->first <= Now) {
     auto It = Calls.find(CallWakeUps.begin()->second);
     if (It->second.Waiting) {
--- a/balance/call_scheduler.h
+++ b/balance/call_scheduler.h
@@ -24,6 +24,10 @@
 //   every answer would be late. A queued call that can no longer be answered by
 //   UsefulUntil ends as NotRun, and a new call does so at once if the queue is
 //   too long. The others are answered in time.
+// * Backend servers limit the rate of requests: each host keeps to its share
+//   (server_pushback.h), whatever the purpose of an attempt. A call waits for
+//   the next request that is allowed if it can still be useful, and otherwise
+//   ends at once as NotRun.
 // * All backend servers of a service have failed: each gets one trial request
 //   at a time, and other calls end at once as Unavailable.
 // * Backend servers crash, and others take over their addresses before service
@@ -84,6 +88,9 @@
   uint64_t UnavailableCalls = 0;
   /// Calls that left or did not enter the queue because they would be late.
   uint64_t OverloadedCalls = 0;
+  /// Calls that left or did not enter the queue because their backend servers
+  /// limit the rate of requests.
+  uint64_t HeldBackCalls = 0;
   /// Calls that reached the deadline.
   uint64_t ExpiredCalls = 0;
   // Attempts by their end.
@@ -108,6 +115,12 @@
   /// backend server may have run its request.
   bool cancel(CallId Id, bool CallerDisconnected, MonotonicTime Now);
 
+  /// When the rate limits of the backend servers of \p Service allow a new
+  /// call to be sent, behind those that are queued; the latest of all times if
+  /// no backend server is usable. Other limits are not considered.
+  MonotonicTime expectedSendAt(const ServiceId &Service, uint32_t Priority,
+                               MonotonicTime Now) const;
+
   /// The state of a call; empty if it has ended.
   std::optional<CallStatus> status(CallId Id) const;
 
@@ -174,6 +187,8 @@
   struct ServiceQueue {
     std::map<WaitKey, CallId> Waiting;
     RetryBudget Budget;
+    /// When a backend server ceases to be held back, if calls wait for it.
+    MonotonicTime WakeUpAt = MonotonicTime::max();
   };
   using CallMap = std::unordered_map<CallId, CallState>;
   using AttemptMap = std::unordered_map<AttemptId, AttemptState>;
@@ -185,6 +200,15 @@
   void sendTo(CallMap::iterator It, const BackendServerPtr &Server, bool Hedge,
               MonotonicTime Now);
   void enqueue(CallMap::iterator It, MonotonicTime Now);
+  /// Sets when queued calls of \p Service are to be sent if no call ends
+  /// before.
+  void setQueueWakeUp(const ServiceId &Service, MonotonicTime Now);
+  /// Number of queued calls that are sent before one of \p Priority.
+  size_t callsAhead(const ServiceId &Service, uint32_t Priority) const;
+  /// See expectedSendAt().
+  MonotonicTime expectedSendAt(const ServiceId &Service, uint32_t Priority,
+                               const std::vector<BackendServerPtr> &Tried,
+                               MonotonicTime Now) const;
   void dequeue(CallState &Call, CallId Id);
   /// Whether the queue is so long that the call could not be answered by
   /// UsefulUntil.
@@ -230,6 +254,8 @@
   LatencyBook Latencies;
   std::set<std::pair<MonotonicTime, CallId>> CallWakeUps;
   std::set<std::pair<MonotonicTime, AttemptId>> AttemptWakeUps;
+  /// ServiceQueue::WakeUpAt, unless it is the latest of all times.
+  std::set<std::pair<MonotonicTime, ServiceId>> QueueWakeUps;
   /// The wake-up time that was last returned or notified.
   MonotonicTime AnnouncedWakeUp = MonotonicTime::max();
   std::function<void()> EarlierWakeUp;
--- a/balance/retry_after.cpp
+++ b/balance/retry_after.cpp
@@ -1,5 +1,7 @@
 #include "balance/retry_after.h"
 
+#include <algorithm>
+
 namespace mimosa {
 
 namespace {
@@ -11,10 +13,10 @@
 constexpr double Jitter = 0.5;
 } // namespace
 
-Duration retryAfter(CallReason Reason, Random &Rng) {
+Duration retryAfter(CallReason Reason, Duration AvailableIn, Random &Rng) {
   Duration Base = Reason == CallReason::Unavailable ? UnavailableRetryAfter
                                                     : OverloadedRetryAfter;
-  return scaled(Base, 1 + Jitter * Rng.uniform01());
+  return scaled(std::max(Base, AvailableIn), 1 + Jitter * Rng.uniform01());
 }
 
 } // namespace mimosa
--- a/balance/retry_after.h
+++ b/balance/retry_after.h
@@ -11,7 +11,9 @@
 namespace mimosa {
 
 /// The time for a request that ended as NotRun because of \p Reason.
-Duration retryAfter(CallReason Reason, Random &Rng);
+/// \p AvailableIn is the time until its backend servers can take one more
+/// request, as far as it is known.
+Duration retryAfter(CallReason Reason, Duration AvailableIn, Random &Rng);
 
 } // namespace mimosa
 
--- a/balance/server_pushback.cpp
+++ b/balance/server_pushback.cpp
@@ -59,6 +59,10 @@
   return NextDueAt - burstTolerance(interval(*Limit, HostCount));
 }
 
+Duration ServerPushback::sendInterval(uint32_t HostCount) const {
+  return Limit ? interval(*Limit, HostCount) : Duration(0);
+}
+
 std::string ServerPushback::describe() const {
   return "limit_per_s=" +
          (Limit ? std::to_string(Limit->PerSecond) : std::string("none"));
--- a/balance/server_pushback.h
+++ b/balance/server_pushback.h
@@ -42,6 +42,10 @@
   /// next request; the earliest of all times if it need not hold back.
   MonotonicTime nextSendAt(uint32_t HostCount) const;
 
+  /// The mean time between two requests of one of \p HostCount hosts; 0 if the
+  /// rate is not limited.
+  Duration sendInterval(uint32_t HostCount) const;
+
   /// The rate that it accepts from all hosts together; empty if not limited.
   const std::optional<RequestRate> &limit() const { return Limit; }
   /// How often that which it asks for has changed.
--- a/balance/server_registry.cpp
+++ b/balance/server_registry.cpp
@@ -164,7 +164,7 @@
 
 bool ServerRegistry::belowLimits(const BackendServer &Server,
                                  MonotonicTime Now) const {
-  if (Server.inFlight() >= inFlightLimit(Server, Now))
+  if (Server.inFlight() >= inFlightLimit(Server, Now) || heldBack(Server, Now))
     return false;
   double ColdRate = limitsOf(Server.entry().Service).ColdRate;
   if (ColdRate <= 0 || !Server.cold(Now))
@@ -229,6 +229,27 @@
   return AnySelectable ? ServiceState::Full : ServiceState::Unavailable;
 }
 
+MonotonicTime
+ServerRegistry::earliestSendAt(const ServiceId &Service,
+                               const std::vector<BackendServerPtr> &Tried,
+                               MonotonicTime Now) const {
+  MonotonicTime Earliest = MonotonicTime::max();
+  for (const BackendServerPtr &Server : servers(Service))
+    if (selectable(*Server, Now) && !contains(&Tried, Server))
+      Earliest = std::min(
+          Earliest, std::max(Now, Server->pushback().nextSendAt(HostCount)));
+  return Earliest;
+}
+
+MonotonicTime ServerRegistry::nextReleaseAt(const ServiceId &Service,
+                                            MonotonicTime Now) const {
+  MonotonicTime Next = MonotonicTime::max();
+  for (const BackendServerPtr &Server : servers(Service))
+    if (usable(*Server) && heldBack(*Server, Now))
+      Next = std::min(Next, Server->pushback().nextSendAt(HostCount));
+  return Next;
+}
+
 bool ServerRegistry::hasUntriedServer(
     const ServiceId &Service, const std::vector<BackendServerPtr> &Tried,
     MonotonicTime Now) const {
--- a/balance/server_registry.h
+++ b/balance/server_registry.h
@@ -87,6 +87,16 @@
                           const ServerCriteria &Criteria,
                           MonotonicTime Now) const;
   ServiceState state(const ServiceId &Service, MonotonicTime Now) const;
+  /// When the rate limits of the backend servers of \p Service that are not in
+  /// \p Tried allow one more request; the latest of all times if none of them
+  /// is selectable.
+  MonotonicTime earliestSendAt(const ServiceId &Service,
+                               const std::vector<BackendServerPtr> &Tried,
+                               MonotonicTime Now) const;
+  /// When the next backend server of \p Service that is held back ceases to be
+  /// so; the latest of all times if none is.
+  MonotonicTime nextReleaseAt(const ServiceId &Service,
+                              MonotonicTime Now) const;
   /// Whether a backend server that is not in \p Tried can take a request once
   /// it is below its limits.
   bool hasUntriedServer(const ServiceId &Service,
--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -52,6 +52,7 @@
     {"mimosa_calls_misdirected_total", &CallCounters::MisdirectedAttempts},
     {"mimosa_calls_expired_total", &CallCounters::ExpiredCalls},
     {"mimosa_calls_unavailable_total", &CallCounters::UnavailableCalls},
+    {"mimosa_calls_held_back_total", &CallCounters::HeldBackCalls},
     {"mimosa_calls_overloaded_total", &CallCounters::OverloadedCalls},
 };
 
@@ -76,7 +77,7 @@
       ConnectionPool(Loop, Registry, AnswerBudget),
       Scheduler(Registry, ConnectionPool),
       Crashes(Options.PeerAddress, Incarnation(Seed)),
-      Service(Loop, Registry, Scheduler, Crashes, Metrics, Rng),
+      Service(Loop, Scheduler, Crashes, Metrics, Rng),
       Directory(Self, Options.AddressLifetime, Rng),
       OwnRegistration(candidateOf(Self), Options.FirstStart, Rng),
       Store(Loop, Options.StoreAddress),
--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -195,7 +195,7 @@
                   QuarantinedRetryAfter);
   if (Loop.now() >= Context.Times.Deadline)
     return refuse(Context, ResultCode::DeadlineTooShort, "waited_too_long",
-                  retryAfter(CallReason::Overloaded, Rng));
+                  retryAfter(CallReason::Overloaded, Duration(0), Rng));
   ++InFlight;
   HttpResponse Out =
       MatchedRoute->isGather() ? serveGather(Context) : serveSingle(Context);
@@ -203,12 +203,20 @@
   return Out;
 }
 
+Duration EntryService::availableIn(const RequestContext &Context,
+                                   const ServiceId &Service) const {
+  MonotonicTime Now = Loop.now();
+  MonotonicTime At =
+      Scheduler.expectedSendAt(Service, Context.MatchedRoute.Priority, Now);
+  return At == MonotonicTime::max() ? Duration(0) : At - Now;
+}
+
 HttpResponse EntryService::serveSingle(const RequestContext &Context) {
   const ServiceId *Service =
       RoundRobins[Context.MatchedRoute.Id].next(Context.MatchedRoute.Targets);
   if (!Service)
     return refuse(Context, ResultCode::NoBackend, "no_target",
-                  retryAfter(CallReason::Unavailable, Rng));
+                  retryAfter(CallReason::Unavailable, Duration(0), Rng));
   SingleObserver Observer;
   CallId Id =
       Scheduler.begin(makeCallRequest(Context, *Service), Observer, Loop.now());
@@ -243,7 +251,7 @@
   }
   case CallOutcome::NotRun:
     return refuse(Context, ResultCode::Overloaded, callReasonName(R.Reason),
-                  retryAfter(R.Reason, Rng));
+                  retryAfter(R.Reason, availableIn(Context, *Service), Rng));
   case CallOutcome::Unknown:
     break;
   }
@@ -268,9 +276,14 @@
 
 HttpResponse EntryService::serveGather(const RequestContext &Context) {
   MonotonicTime Now = Loop.now();
-  if (!coverageReachable(Context.MatchedRoute, Registry, Now))
+  MonotonicTime AvailableAt =
+      coverageAvailableAt(Context.MatchedRoute, Scheduler, Now);
+  if (AvailableAt == MonotonicTime::max())
     return refuse(Context, ResultCode::NoBackend, "shards_unavailable",
-                  retryAfter(CallReason::Unavailable, Rng));
+                  retryAfter(CallReason::Unavailable, Duration(0), Rng));
+  if (AvailableAt > Context.Times.PartialFrom)
+    return refuse(Context, ResultCode::Overloaded, "shards_held_back",
+                  retryAfter(CallReason::HeldBack, AvailableAt - Now, Rng));
   GatherQuery Query(Context.MatchedRoute, Context.Times);
   GatherObserver Observer(Query);
   std::vector<CallId> Ids;
@@ -311,7 +324,7 @@
   if (!MayHaveRun)
     return refuse(Context, ResultCode::Overloaded,
                   callReasonName(Query.lastReason()),
-                  retryAfter(Query.lastReason(), Rng));
+                  retryAfter(Query.lastReason(), Duration(0), Rng));
   return fail(Context, Now >= Context.Times.Deadline, Detail);
 }
 
--- a/entry/entry_service.h
+++ b/entry/entry_service.h
@@ -1,7 +1,7 @@
 // Serves callers' requests: finds the route, runs the request on one backend
 // server or on one of each shard, and answers or refuses.
 //
-//   EntryService Service(Loop, Registry, Scheduler, Crashes, Metrics, Rng);
+//   EntryService Service(Loop, Scheduler, Crashes, Metrics, Rng);
 //   Service.setRoutes(Table);      // requests are refused until then
 //   HttpServer Server(Loop, Options, Service);
 
@@ -21,11 +21,10 @@
 
 class EntryService : public HttpHandler {
 public:
-  EntryService(FiberLoop &Loop, ServerRegistry &Registry,
-               CallScheduler &Scheduler, CrashWatch &Crashes,
+  EntryService(FiberLoop &Loop, CallScheduler &Scheduler, CrashWatch &Crashes,
                MetricsRegistry &Metrics, Random &Rng)
-      : Loop(Loop), Registry(Registry), Scheduler(Scheduler), Crashes(Crashes),
-        Metrics(Metrics), Rng(Rng) {}
+      : Loop(Loop), Scheduler(Scheduler), Crashes(Crashes), Metrics(Metrics),
+        Rng(Rng) {}
 
   /// Calls \p Callback with each strike that this host records, see
   /// quarantine/crash_watch.h.
@@ -63,6 +62,10 @@
   makeContext(const DecodedCallerRequest &Decoded, const HttpRequest &Request,
               const Route &MatchedRoute,
               const std::shared_ptr<CallerConnection> &Caller) const;
+  /// How long the rate limits of the backend servers of \p Service delay one
+  /// more call; 0 if no backend server is usable.
+  Duration availableIn(const RequestContext &Context,
+                       const ServiceId &Service) const;
   HttpResponse serveSingle(const RequestContext &Context);
   HttpResponse serveGather(const RequestContext &Context);
   /// Cancels the calls of a query that have not ended, and describes them in
@@ -85,7 +88,6 @@
                               const ServiceId &Service) const;
 
   FiberLoop &Loop;
-  ServerRegistry &Registry;
   CallScheduler &Scheduler;
   CrashWatch &Crashes;
   MetricsRegistry &Metrics;
--- a/gather/gather_query.cpp
+++ b/gather/gather_query.cpp
@@ -25,13 +25,23 @@
   return {std::min(ArrivedAt + PartialDelay, Deadline), Deadline};
 }
 
-bool coverageReachable(const Route &R, const ServerRegistry &Registry,
-                       MonotonicTime Now) {
-  size_t Unavailable = 0;
-  for (const ServiceId &Shard : R.Shards)
-    if (Registry.state(Shard, Now) == ServiceState::Unavailable)
-      ++Unavailable;
-  return R.Shards.size() - Unavailable >= R.minShardResults();
+MonotonicTime coverageAvailableAt(const Route &R,
+                                  const CallScheduler &Scheduler,
+                                  MonotonicTime Now) {
+  // The times of the shards that have to wait.
+  std::vector<MonotonicTime> Later;
+  for (const ServiceId &Shard : R.Shards) {
+    MonotonicTime At = Scheduler.expectedSendAt(Shard, R.Priority, Now);
+    if (At > Now)
+      Later.push_back(At);
+  }
+  size_t Ready = R.Shards.size() - Later.size();
+  if (Ready >= R.minShardResults())
+    return Now;
+  auto Decisive = Later.begin() +
+                  static_cast<std::ptrdiff_t>(R.minShardResults() - Ready - 1);
+  std::nth_element(Later.begin(), Decisive, Later.end());
+  return *Decisive;
 }
 
 size_t maxShardResultBytes(const Route &R) {
--- a/gather/gather_query.h
+++ b/gather/gather_query.h
@@ -17,8 +17,7 @@
 #ifndef MIMOSA_GATHER_GATHER_QUERY_H
 #define MIMOSA_GATHER_GATHER_QUERY_H
 
-#include "balance/call.h"
-#include "balance/server_registry.h"
+#include "balance/call_scheduler.h"
 #include "gather/top_records.h"
 #include "routing/route.h"
 
@@ -36,10 +35,14 @@
 GatherTimes gatherTimes(const Route &R, MonotonicTime ArrivedAt,
                         MonotonicTime Deadline);
 
-/// Whether enough shards of \p R have backend servers that may answer to reach
-/// its minimum coverage. Otherwise a query is refused before any call.
-bool coverageReachable(const Route &R, const ServerRegistry &Registry,
-                       MonotonicTime Now);
+/// When enough shards of \p R can take a call to reach its minimum coverage, as
+/// far as rate limits of their backend servers and failures are concerned; the
+/// latest of all times if too few have usable backend servers. A query that
+/// would have to wait for longer than GatherTimes::PartialFrom is refused
+/// before any call.
+MonotonicTime coverageAvailableAt(const Route &R,
+                                  const CallScheduler &Scheduler,
+                                  MonotonicTime Now);
 
 /// Limit on the body of one shard's result. A backend server may send more
 /// records than \p R asks for.
--- a/model/simulation.cpp
+++ b/model/simulation.cpp
@@ -43,8 +43,12 @@
 
   void start() {
     Self = shared_from_this();
-    if (!coverageReachable(Definition, Host.registry(), Queue.now())) {
-      LastReason = CallReason::Unavailable;
+    MonotonicTime AvailableAt =
+        coverageAvailableAt(Definition, Host.scheduler(), Queue.now());
+    if (AvailableAt > Times.PartialFrom) {
+      bool Known = AvailableAt != MonotonicTime::max();
+      LastReason = Known ? CallReason::HeldBack : CallReason::Unavailable;
+      AvailableIn = Known ? AvailableAt - Queue.now() : Duration(0);
       return finish(RequestOutcome::Refused);
     }
     for (const ServiceId &Shard : Definition.Shards)
@@ -61,7 +65,9 @@
   const Route &route() const { return Definition; }
   MonotonicTime askedAt() const { return AskedAt; }
   /// When a refused caller may return.
-  Duration returnAfter() const { return retryAfter(LastReason, Rng); }
+  Duration returnAfter() const {
+    return retryAfter(LastReason, AvailableIn, Rng);
+  }
 
 private:
   CallRequest makeCall(const ServiceId &Service) const {
@@ -123,6 +129,8 @@
   std::vector<CallId> Ids;
   MonotonicTime WakeUpAt;
   CallReason LastReason = CallReason::None;
+  /// Time until its shards can take a query, if it was refused for that.
+  Duration AvailableIn{0};
   /// Keeps this alive until its end.
   std::shared_ptr<Query> Self;
 };
