Test with real processes that stated limits are kept

How often a server is chosen after its limit is lifted depends on its latency as well (one of four got none for 2 s), so the test asks for more than the limit on the busiest.

--- a/tools/platform_stand_in.py
+++ b/tools/platform_stand_in.py
@@ -247,6 +247,9 @@
         self.answers_twice = False
         self.runs: list[tuple[str, str, bytes]] = []
         self.last_arrival = 0.0
+        self.arrivals: list[float] = []
+        #: Further headers of its answers.
+        self.headers: dict[str, str] = {}
         self.sequence = 0
         self._lock = threading.Lock()
         super().__init__()
@@ -262,10 +265,12 @@
         body = request.read_body()
         request_id = request.headers.get("Attempt-Id", "")
         self.last_arrival = time.monotonic()
+        self.arrivals.append(self.last_arrival)
         if request.headers.get("Expect-Instance") != self.name:
             return request.respond(421, b"", {"Instance-Id": self.name, "Attempt-Id": request_id})
         if self.sheds:
-            return request.respond(503, b"", {"Not-Executed": "1", "Attempt-Id": request_id})
+            return request.respond(503, b"", {
+                "Not-Executed": "1", "Attempt-Id": request_id, **self.headers})
         with self._lock:
             self.runs.append((request_id, f"{request.command} {request.path}", body))
         time.sleep(self.delay_s)
@@ -273,7 +278,7 @@
             request.close_connection = True
             return None
         headers = {"Server-Stamp": self.stamp(request_id), "Attempt-Id": request_id,
-                   "Keep-Alive": "timeout=30"}
+                   "Keep-Alive": "timeout=30", **self.headers}
         content = b"".join(self.records) or b"echo:" + body
         request.respond(200, content, headers)
         if self.answers_twice:
