Send nothing to a backend server that has asked for a pause

Callers saw nothing, but a backend server that refuses a request with 503 and a Retry-After got 156 requests from one host within its 2 s (the users' trial, allowed are 2 from 0.5 s on). Cause: the header was not read; a refusal only made the backend server less likely to be chosen. Class: as with stated limits.

Change: the adapter decodes the pause of a 503 or 429; server_pushback holds until when it counts, and every choice of a backend server asks it. Calls that could only be sent after the pause and too late are refused at once with the time that is left.

--- a/balance/call.h
+++ b/balance/call.h
@@ -50,7 +50,7 @@
   None,
   Unavailable,
   Overloaded,
-  /// The backend servers limit the rate of requests.
+  /// The backend servers have asked for a pause or limit the rate of requests.
   HeldBack,
   Deadline,
   Lost,
--- a/balance/call_scheduler.h
+++ b/balance/call_scheduler.h
@@ -24,8 +24,9 @@
 //   every answer would be late. A queued call that can no longer be answered by
 //   UsefulUntil ends as NotRun, and a new call does so at once if the queue is
 //   too long. The others are answered in time.
-// * Backend servers limit the rate of requests: each host keeps to its share
-//   (server_pushback.h), whatever the purpose of an attempt. A call waits for
+// * Backend servers ask for a pause or limit the rate of requests: each host
+//   keeps to it (server_pushback.h), whatever the purpose of an attempt. A call
+//   waits for
 //   the next request that is allowed if it can still be useful, and otherwise
 //   ends at once as NotRun.
 // * All backend servers of a service have failed: each gets one trial request
@@ -88,8 +89,8 @@
   uint64_t UnavailableCalls = 0;
   /// Calls that left or did not enter the queue because they would be late.
   uint64_t OverloadedCalls = 0;
-  /// Calls that left or did not enter the queue because their backend servers
-  /// limit the rate of requests.
+  /// Calls that did not enter the queue because their backend servers have
+  /// asked for a pause or limit the rate of requests.
   uint64_t HeldBackCalls = 0;
   /// Calls that reached the deadline.
   uint64_t ExpiredCalls = 0;
@@ -115,9 +116,9 @@
   /// backend server may have run its request.
   bool cancel(CallId Id, bool CallerDisconnected, MonotonicTime Now);
 
-  /// When the rate limits of the backend servers of \p Service allow a new
-  /// call to be sent, behind those that are queued; the latest of all times if
-  /// no backend server is usable. Other limits are not considered.
+  /// When the pauses and rate limits of the backend servers of \p Service allow
+  /// a new call to be sent, behind those that are queued; the latest of all
+  /// times if no backend server is usable. Other limits are not considered.
   MonotonicTime expectedSendAt(const ServiceId &Service, uint32_t Priority,
                                MonotonicTime Now) const;
 
--- a/balance/server_pushback.cpp
+++ b/balance/server_pushback.cpp
@@ -16,6 +16,8 @@
 constexpr double MinLimitPerSecond = 0.5;
 /// A higher limit has no effect, and intervals would have no length.
 constexpr double MaxLimitPerSecond = 100000;
+/// A longer pause is cut to this one.
+constexpr Duration MaxPause = Seconds(30);
 
 } // namespace
 
@@ -32,6 +34,11 @@
 void ServerPushback::record(const ServerNotice &Notice, MonotonicTime SentAt,
                             uint32_t HostCount, double Phase,
                             MonotonicTime Now) {
+  MonotonicTime PauseEnd = Now + std::min<Duration>(Notice.Pause, MaxPause);
+  if (Notice.Pause > Duration(0) && PauseEnd > PausedUntil) {
+    Changes += PausedUntil <= Now ? 1 : 0;
+    PausedUntil = PauseEnd;
+  }
   if (Notice.Limit) {
     Duration Interval = interval(*Notice.Limit, HostCount);
     Duration Tolerance = burstTolerance(Interval);
@@ -55,17 +62,21 @@
 
 MonotonicTime ServerPushback::nextSendAt(uint32_t HostCount) const {
   if (!Limit)
-    return MonotonicTime::min();
-  return NextDueAt - burstTolerance(interval(*Limit, HostCount));
+    return PausedUntil;
+  return std::max(PausedUntil,
+                  NextDueAt - burstTolerance(interval(*Limit, HostCount)));
 }
 
 Duration ServerPushback::sendInterval(uint32_t HostCount) const {
   return Limit ? interval(*Limit, HostCount) : Duration(0);
 }
 
-std::string ServerPushback::describe() const {
+std::string ServerPushback::describe(MonotonicTime Now) const {
   return "limit_per_s=" +
-         (Limit ? std::to_string(Limit->PerSecond) : std::string("none"));
+         (Limit ? std::to_string(Limit->PerSecond) : std::string("none")) +
+         " paused_ms=" +
+         std::to_string(
+             inMilliseconds(std::max<Duration>(PausedUntil - Now, Seconds(0))));
 }
 
 } // namespace mimosa
--- a/balance/server_pushback.h
+++ b/balance/server_pushback.h
@@ -12,6 +12,10 @@
 // a limit starts with an empty bucket and a random phase, so that hosts that
 // learn of it together do not send together.
 //
+// A pause is meant for this host alone. It ends with its time, and is cut to a
+// bound, so that the words of one backend server cannot take a shard away for
+// long.
+//
 // Answers can overtake each other. A restriction applies from the answer that
 // states it. It is lifted by an answer without it only if the request of that
 // answer was sent later, since any other answer may be older.
@@ -48,10 +52,11 @@
 
   /// The rate that it accepts from all hosts together; empty if not limited.
   const std::optional<RequestRate> &limit() const { return Limit; }
+  MonotonicTime pausedUntil() const { return PausedUntil; }
   /// How often that which it asks for has changed.
   uint64_t changes() const { return Changes; }
   /// What it asks for, for logs.
-  std::string describe() const;
+  std::string describe(MonotonicTime Now) const;
 
 private:
   /// The time between two requests of one host.
@@ -64,6 +69,7 @@
   MonotonicTime LimitStatedAt;
   /// When the next request is due if requests are sent at even intervals.
   MonotonicTime NextDueAt;
+  MonotonicTime PausedUntil;
   uint64_t Changes = 0;
 };
 
--- a/balance/server_pushback_test.cpp
+++ b/balance/server_pushback_test.cpp
@@ -70,6 +70,21 @@
   EXPECT_LE(State.nextSendAt(Hosts), Now + Milliseconds(1100));
 }
 
+TEST(ServerPushback, PausesEndWithTheirTimeAndAreBounded) {
+  ServerPushback State;
+  ServerNotice Notice;
+  Notice.Pause = Seconds(2);
+  State.record(Notice, Start, Hosts, 0, Start);
+  // Neither a shorter pause nor the answer to an earlier request ends it.
+  Notice.Pause = Milliseconds(100);
+  State.record(Notice, Start, Hosts, 0, Start + Milliseconds(1));
+  State.record({}, Start, Hosts, 0, Start + Milliseconds(2));
+  EXPECT_EQ(State.nextSendAt(Hosts), Start + Seconds(2));
+  Notice.Pause = Seconds(10 * 365 * 24 * 3600);
+  State.record(Notice, Start, Hosts, 0, Start + Seconds(3));
+  EXPECT_EQ(State.nextSendAt(Hosts), Start + Seconds(33));
+}
+
 // Limits that make no sense neither stop a backend server for good nor stop
 // the host.
 TEST(ServerPushback, AbsurdLimitsAreBounded) {
--- a/balance/server_registry.cpp
+++ b/balance/server_registry.cpp
@@ -144,6 +144,13 @@
       }));
 }
 
+size_t ServerRegistry::pausedServers(MonotonicTime Now) const {
+  return static_cast<size_t>(
+      std::count_if(ById.begin(), ById.end(), [Now](const auto &Entry) {
+        return Now < Entry.second->pushback().pausedUntil();
+      }));
+}
+
 double ServerRegistry::leastRelativeLatency(const ServiceId &Service,
                                             MonotonicTime Now) const {
   double Least = std::numeric_limits<double>::max();
--- a/balance/server_registry.h
+++ b/balance/server_registry.h
@@ -76,20 +76,22 @@
   /// sent at \p SentAt.
   void recordNotice(BackendServer &Server, const ServerNotice &Notice,
                     MonotonicTime SentAt, MonotonicTime Now) const;
-  /// Whether one more request to \p Server would exceed this host's share of
-  /// the rate that the backend server has asked for.
+  /// Whether \p Server has asked for a pause, or one more request would exceed
+  /// this host's share of the rate that it has asked for.
   bool heldBack(const BackendServer &Server, MonotonicTime Now) const;
-  /// Number of backend servers that limit the rate of requests.
+  /// Number of backend servers that limit the rate of requests, and that have
+  /// asked this host to pause.
   size_t limitedServers() const;
+  size_t pausedServers(MonotonicTime Now) const;
 
   /// The backend server for one more request; null if none can take it now.
   BackendServerPtr choose(const ServiceId &Service,
                           const ServerCriteria &Criteria,
                           MonotonicTime Now) const;
   ServiceState state(const ServiceId &Service, MonotonicTime Now) const;
-  /// When the rate limits of the backend servers of \p Service that are not in
-  /// \p Tried allow one more request; the latest of all times if none of them
-  /// is selectable.
+  /// When the pauses and rate limits of the backend servers of \p Service that
+  /// are not in \p Tried allow one more request; the latest of all times if
+  /// none of them is selectable.
   MonotonicTime earliestSendAt(const ServiceId &Service,
                                const std::vector<BackendServerPtr> &Tried,
                                MonotonicTime Now) const;
--- a/entry/backend_connection_pool.cpp
+++ b/entry/backend_connection_pool.cpp
@@ -168,9 +168,10 @@
                    " server=" + C.Server->entry().Id.text() +
                    " address=" + C.Server->entry().Address +
                    " sequence=" + std::to_string(C.Server->entry().Sequence));
-  if (Decoded.Answer.Notice.LimitUnreadable)
+  if (Decoded.Answer.Notice.LimitUnreadable ||
+      Decoded.Answer.Notice.PauseUnreadable)
     logRequest("backend",
-               "event=unreadable_limit request=" + C.RequestId.text() +
+               "event=unreadable_notice request=" + C.RequestId.text() +
                    " server=" + C.Server->entry().Id.text());
   AttemptId Id = C.Attempt;
   BackendServerPtr Server = C.Server;
@@ -197,7 +198,7 @@
                            " service=" + Server->entry().Service.text() +
                            " request=" + RequestId.text() +
                            " hosts=" + std::to_string(Registry.hostCount()) +
-                           " " + Server->pushback().describe());
+                           " " + Server->pushback().describe(Loop.now()));
   return true;
 }
 
--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -134,6 +134,8 @@
   Gauge("mimosa_backend_servers", [](Node &N) { return N.Registry.size(); });
   Gauge("mimosa_backend_servers_limited",
         [](Node &N) { return N.Registry.limitedServers(); });
+  Gauge("mimosa_backend_servers_paused",
+        [](Node &N) { return N.Registry.pausedServers(N.Loop.now()); });
   Gauge("mimosa_sharing_hosts", [](Node &N) { return N.Registry.hostCount(); });
   Gauge("mimosa_requests_in_flight",
         [](Node &N) { return N.Service.inFlight(); });
--- a/entry/entry_service.h
+++ b/entry/entry_service.h
@@ -62,8 +62,8 @@
   makeContext(const DecodedCallerRequest &Decoded, const HttpRequest &Request,
               const Route &MatchedRoute,
               const std::shared_ptr<CallerConnection> &Caller) const;
-  /// How long the rate limits of the backend servers of \p Service delay one
-  /// more call; 0 if no backend server is usable.
+  /// How long the pauses and rate limits of the backend servers of \p Service
+  /// delay one more call; 0 if no backend server is usable.
   Duration availableIn(const RequestContext &Context,
                        const ServiceId &Service) const;
   HttpResponse serveSingle(const RequestContext &Context);
--- a/model/load_pattern.cpp
+++ b/model/load_pattern.cpp
@@ -17,12 +17,13 @@
 constexpr int64_t MaxCount = 100000;
 constexpr double MaxFactor = 10000;
 
-constexpr std::array<std::pair<const char *, ModelEventKind>, 6> EventKinds = {{
+constexpr std::array<std::pair<const char *, ModelEventKind>, 7> EventKinds = {{
     {"slow", ModelEventKind::Slow},
     {"shed", ModelEventKind::Shed},
     {"silent", ModelEventKind::Silent},
     {"crash", ModelEventKind::Crash},
     {"limit", ModelEventKind::Limit},
+    {"pause", ModelEventKind::Pause},
     {"burst", ModelEventKind::Burst},
 }};
 
@@ -154,8 +155,8 @@
   if (Found == EventKinds.end())
     Fields.fail(ResultCode::BadField,
                 Fields.path() +
-                    ".kind must be slow, shed, silent, crash, limit or "
-                    "burst, not \"" +
+                    ".kind must be slow, shed, silent, crash, limit, "
+                    "pause or burst, not \"" +
                     Kind + "\"");
   else
     Model.Kind = Found->second;
--- a/model/load_pattern.h
+++ b/model/load_pattern.h
@@ -74,6 +74,8 @@
   Silent,
   /// Connections are refused.
   Crash,
+  /// All requests are refused, with a wish for a pause of Factor seconds.
+  Pause,
   /// Answers state a limit of Factor requests per second; it is not enforced.
   Limit,
   /// Callers send Factor times the requests; open loops only.
--- a/model/server_model.cpp
+++ b/model/server_model.cpp
@@ -35,7 +35,7 @@
   }
   bool Full =
       Running.size() >= Service.Slots && Waiting.size() >= Service.QueueLimit;
-  if (Full || Rng.uniform01() < ShedShare) {
+  if (Full || Notice.Pause > Duration(0) || Rng.uniform01() < ShedShare) {
     Reply({ServerOutcome::NotRun, Notice});
     return Key;
   }
@@ -90,6 +90,9 @@
     if (Active)
       Notice.Limit = RequestRate{Event.Factor};
     break;
+  case ModelEventKind::Pause:
+    Notice.Pause = scaled(Seconds(1), Active ? Event.Factor : 0);
+    break;
   case ModelEventKind::Burst:
     break;
   }
--- a/routing/caller_request.h
+++ b/routing/caller_request.h
@@ -34,8 +34,12 @@
   /// Requests that it accepts from all hosts together; empty if it states no
   /// limit.
   std::optional<RequestRate> Limit;
-  /// It states a limit that could not be read.
+  /// It refused the request and wants no further one from this host for so
+  /// long; 0 if it does not say so.
+  Duration Pause{0};
+  /// It states a limit or a pause that could not be read.
   bool LimitUnreadable = false;
+  bool PauseUnreadable = false;
 };
 
 /// A backend server's complete answer to one request.
--- a/tools/pushback_test.py
+++ b/tools/pushback_test.py
@@ -31,6 +31,7 @@
 #: A searcher is used again this long after it has lifted its limit.
 LIFT_S = 1.0
 #: A pause must be kept from this long after it was stated, except for some requests.
+PAUSE_S = 2.0
 PAUSE_HEED_S = 0.5
 PAUSE_SLACK = 2
 MIN_SERVED_SHARE = 0.99
@@ -144,6 +145,22 @@
         self.assertLess(refusals[len(refusals) * 99 // 100], REFUSAL_S)
         self.assertTrue(all(duration < DEADLINE_MS / 1000 for _, _, duration in results))
 
+    def test_searcher_that_asks_for_a_pause_gets_requests(self) -> None:
+        # Guards against requests to a searcher that has refused one and asked for a pause.
+        for searcher in self.affected():
+            searcher.sheds = True
+            searcher.headers = {"Retry-After": str(PAUSE_S)}
+        results = self.finish(self.start_callers(4))
+        self.assert_served(results)
+        for searcher in self.affected():
+            # Each pause begins with the first refusal after the one before.
+            begin = searcher.arrivals[0]
+            for arrival in searcher.arrivals:
+                if arrival >= begin + PAUSE_S:
+                    begin = arrival
+                late = sum(begin + PAUSE_HEED_S <= a < begin + PAUSE_S for a in searcher.arrivals)
+                self.assertLessEqual(late, PAUSE_SLACK, searcher.name)
+
 
 if __name__ == "__main__":
     unittest.main()
