Send nothing to a backend server that says it is leaving

Cause: the header was not read; only service discovery could end the use of a server. Class: as with stated limits and pauses.

Change: the adapter decodes the header; a leaving server is not in service for this host, so that nothing is sent to it, its idle connections are closed, and a query whose shards have no other server is refused before its calls. It lasts until the process has restarted, by its start in service discovery: what a server has said is kept when its entry is removed and listed again, and when the answer that says it arrives after the removal. One that says so for 5 minutes and is still there is used again.

--- a/balance/backend_server.h
+++ b/balance/backend_server.h
@@ -26,6 +26,7 @@
 #include "base/time.h"
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -73,8 +74,11 @@
   /// latency and the failures start anew.
   void update(BackendServerEntry NewEntry, MonotonicTime Now);
 
-  /// Whether it is in discovery, is not draining and still has its address.
-  bool inService() const { return !Removed && !Replaced && !Entry.Draining; }
+  /// Whether it is in discovery, is not shutting down and still has its
+  /// address.
+  bool inService() const {
+    return !Removed && !Replaced && !Entry.Draining && !Pushback->leaving();
+  }
   void remove() { Removed = true; }
   /// Whether its process started recently, so that requests take longer.
   bool cold(MonotonicTime Now) const { return Now < ColdUntil; }
@@ -91,8 +95,12 @@
   void recordStall(double Relative, MonotonicTime Now);
   void recordFailure(BackendFailure Failure, MonotonicTime Now);
 
-  ServerPushback &pushback() { return Pushback; }
-  const ServerPushback &pushback() const { return Pushback; }
+  ServerPushback &pushback() { return *Pushback; }
+  const ServerPushback &pushback() const { return *Pushback; }
+  /// Uses the pushback of \p Former, an earlier object for the same process.
+  void sharePushback(const BackendServer &Former) {
+    Pushback = Former.Pushback;
+  }
 
   uint32_t inFlight() const { return static_cast<uint32_t>(SentTimes.size()); }
   /// Expected latency of one more request, relative to the typical latency.
@@ -122,7 +130,7 @@
   /// that one, and count there as an extra arrival. Reset by the next report of
   /// this one.
   bool Replaced = false;
-  ServerPushback Pushback;
+  std::shared_ptr<ServerPushback> Pushback = std::make_shared<ServerPushback>();
   MonotonicTime ColdUntil;
   double RelativeLatency = 1;
   MonotonicTime LatencyAt;
--- a/balance/server_pushback.cpp
+++ b/balance/server_pushback.cpp
@@ -18,6 +18,8 @@
 constexpr double MaxLimitPerSecond = 100000;
 /// A longer pause is cut to this one.
 constexpr Duration MaxPause = Seconds(30);
+/// A backend server that is leaving ends well within this time.
+constexpr Duration MaxLeavingTime = Seconds(300);
 
 } // namespace
 
@@ -34,6 +36,10 @@
 void ServerPushback::record(const ServerNotice &Notice, MonotonicTime SentAt,
                             uint32_t HostCount, double Phase,
                             MonotonicTime Now) {
+  if (Notice.Leaving && !LeavingSince) {
+    LeavingSince = Now;
+    ++Changes;
+  }
   MonotonicTime PauseEnd = Now + std::min<Duration>(Notice.Pause, MaxPause);
   if (Notice.Pause > Duration(0) && PauseEnd > PausedUntil) {
     Changes += PausedUntil <= Now ? 1 : 0;
@@ -49,12 +55,19 @@
     Changes += Limit != Notice.Limit ? 1 : 0;
     Limit = Notice.Limit;
     LimitStatedAt = Now;
-  } else if (Limit && !Notice.LimitUnreadable && SentAt > LimitStatedAt) {
+  } else if (Limit && !Notice.Unreadable && SentAt > LimitStatedAt) {
     Limit.reset();
     ++Changes;
   }
 }
 
+void ServerPushback::expire(MonotonicTime Now) {
+  if (!LeavingSince || Now - *LeavingSince <= MaxLeavingTime)
+    return;
+  LeavingSince.reset();
+  ++Changes;
+}
+
 void ServerPushback::recordSend(uint32_t HostCount, MonotonicTime Now) {
   if (Limit)
     NextDueAt = std::max(NextDueAt, Now) + interval(*Limit, HostCount);
@@ -72,7 +85,7 @@
 }
 
 std::string ServerPushback::describe(MonotonicTime Now) const {
-  return "limit_per_s=" +
+  return std::string("leaving=") + (leaving() ? "1" : "0") + " limit_per_s=" +
          (Limit ? std::to_string(Limit->PerSecond) : std::string("none")) +
          " paused_ms=" +
          std::to_string(
--- a/balance/server_pushback.h
+++ b/balance/server_pushback.h
@@ -16,6 +16,10 @@
 // bound, so that the words of one backend server cannot take a shard away for
 // long.
 //
+// A backend server that is leaving gets no further requests until its process
+// has restarted, which begins a new ServerPushback. One that says so for
+// minutes and is still there is taken to be wrong.
+//
 // Answers can overtake each other. A restriction applies from the answer that
 // states it. It is lifted by an answer without it only if the request of that
 // answer was sent later, since any other answer may be older.
@@ -39,6 +43,9 @@
   /// \p Phase is a random number from 0 to 1.
   void record(const ServerNotice &Notice, MonotonicTime SentAt,
               uint32_t HostCount, double Phase, MonotonicTime Now);
+  /// Forgets that the backend server is leaving if it has been so for too long;
+  /// must be called from time to time.
+  void expire(MonotonicTime Now);
   /// Records that a request is sent.
   void recordSend(uint32_t HostCount, MonotonicTime Now);
 
@@ -52,6 +59,8 @@
 
   /// The rate that it accepts from all hosts together; empty if not limited.
   const std::optional<RequestRate> &limit() const { return Limit; }
+  /// Whether it is shutting down and wants no further requests.
+  bool leaving() const { return LeavingSince.has_value(); }
   MonotonicTime pausedUntil() const { return PausedUntil; }
   /// How often that which it asks for has changed.
   uint64_t changes() const { return Changes; }
@@ -70,6 +79,7 @@
   /// When the next request is due if requests are sent at even intervals.
   MonotonicTime NextDueAt;
   MonotonicTime PausedUntil;
+  std::optional<MonotonicTime> LeavingSince;
   uint64_t Changes = 0;
 };
 
--- a/balance/server_pushback_test.cpp
+++ b/balance/server_pushback_test.cpp
@@ -49,7 +49,7 @@
   State.record({}, Start - Milliseconds(5), Hosts, 0, Now);
   EXPECT_TRUE(State.limit());
   ServerNotice Unreadable;
-  Unreadable.LimitUnreadable = true;
+  Unreadable.Unreadable = true;
   State.record(Unreadable, Now, Hosts, 0, Now);
   EXPECT_TRUE(State.limit());
   State.record({}, Start + Milliseconds(5), Hosts, 0, Now);
@@ -85,6 +85,19 @@
   EXPECT_EQ(State.nextSendAt(Hosts), Start + Seconds(33));
 }
 
+TEST(ServerPushback, LeavingIsNotLiftedByAnswers) {
+  ServerPushback State;
+  ServerNotice Notice;
+  Notice.Leaving = true;
+  State.record(Notice, Start, Hosts, 0, Start);
+  State.record({}, Start + Seconds(1), Hosts, 0, Start + Seconds(1));
+  State.expire(Start + Seconds(60));
+  EXPECT_TRUE(State.leaving());
+  // The bound for a backend server that says so and stays.
+  State.expire(Start + Seconds(301));
+  EXPECT_FALSE(State.leaving());
+}
+
 // Limits that make no sense neither stop a backend server for good nor stop
 // the host.
 TEST(ServerPushback, AbsurdLimitsAreBounded) {
--- a/balance/server_registry.cpp
+++ b/balance/server_registry.cpp
@@ -32,6 +32,10 @@
 /// because the hosts do not count the same seconds.
 constexpr double ColdLimitShare = 0.8;
 
+/// Removed backend servers that are remembered; more than service discovery
+/// loses at once.
+constexpr size_t MaxRemovedServers = 2048;
+
 bool contains(const std::vector<BackendServerPtr> *List,
               const BackendServerPtr &Server) {
   return List && std::find(List->begin(), List->end(), Server) != List->end();
@@ -59,6 +63,8 @@
     ById.erase(Found);
   }
   auto Server = std::make_shared<BackendServer>(Entry);
+  if (BackendServerPtr Former = findRemoved(Entry))
+    Server->sharePushback(*Former);
   ByService[Entry.Service].push_back(Server);
   BackendServerId Id = Entry.Id;
   Server->update(std::move(Entry), Now);
@@ -66,8 +72,28 @@
   return true;
 }
 
+BackendServerPtr
+ServerRegistry::findRemoved(const BackendServerEntry &Entry) const {
+  auto Found = RemovedServers.find(Entry.Id);
+  bool SameProcess = Found != RemovedServers.end() &&
+                     Found->second->entry().StartedAtMs == Entry.StartedAtMs;
+  return SameProcess ? Found->second : nullptr;
+}
+
+void ServerRegistry::expirePushback(MonotonicTime Now) {
+  for (const auto &[Id, Server] : ById)
+    Server->pushback().expire(Now);
+}
+
 void ServerRegistry::removeFromService(const BackendServerPtr &Server) {
   Server->remove();
+  const BackendServerId &Id = Server->entry().Id;
+  RemovedServers[Id] = Server;
+  RemovalOrder.push_back(Id);
+  if (RemovalOrder.size() > MaxRemovedServers) {
+    RemovedServers.erase(RemovalOrder.front());
+    RemovalOrder.pop_front();
+  }
   auto &List = ByService[Server->entry().Service];
   List.erase(std::remove(List.begin(), List.end(), Server), List.end());
 }
--- a/balance/server_registry.h
+++ b/balance/server_registry.h
@@ -5,6 +5,10 @@
 //   Registry.setEvacuatedZones(Zones);      // from the operators
 //   Registry.choose(Service, Criteria, Now);
 //
+// What a backend server has asked for in its answers lasts as long as its
+// process. So it is kept for a while when the entry is removed, which may only
+// mean that service discovery has lost it.
+//
 // Entries of one backend server are ordered by the start of its process and by
 // their sequence number, so that an entry that arrives late has no effect.
 
@@ -14,6 +18,7 @@
 #include "balance/backend_server.h"
 #include "base/random.h"
 
+#include <deque>
 #include <memory>
 #include <optional>
 #include <set>
@@ -83,6 +88,8 @@
   /// asked this host to pause.
   size_t limitedServers() const;
   size_t pausedServers(MonotonicTime Now) const;
+  /// Must be called about once a second.
+  void expirePushback(MonotonicTime Now);
 
   /// The backend server for one more request; null if none can take it now.
   BackendServerPtr choose(const ServiceId &Service,
@@ -135,7 +142,10 @@
   /// BackendServer::cost(), with the cost of crossing zones.
   double selectionCost(const BackendServer &Server,
                        const ServerCriteria &Criteria, MonotonicTime Now) const;
-  /// Removes \p Server from the list of its service.
+  /// The object of the same process as \p Entry that was removed; null if it is
+  /// not known.
+  BackendServerPtr findRemoved(const BackendServerEntry &Entry) const;
+  /// Removes \p Server from the list of its service, and remembers it.
   void removeFromService(const BackendServerPtr &Server);
 
   AvailabilityZoneId OwnZone;
@@ -145,6 +155,10 @@
   double ColdSlack = 5;
   std::unordered_map<BackendServerId, BackendServerPtr> ById;
   std::unordered_map<ServiceId, std::vector<BackendServerPtr>> ByService;
+  /// The backend servers that were removed last, and their ids in the order of
+  /// removal, oldest first. An id that was removed twice is there twice.
+  std::unordered_map<BackendServerId, BackendServerPtr> RemovedServers;
+  std::deque<BackendServerId> RemovalOrder;
   std::unordered_map<ServiceId, Limits> ServiceLimits;
   std::set<AvailabilityZoneId> EvacuatedZones;
 };
--- a/balance/server_registry_test.cpp
+++ b/balance/server_registry_test.cpp
@@ -157,5 +157,30 @@
   }
 }
 
+// Guards against requests to a backend server that is leaving, after service
+// discovery has lost its entry and listed it again; a restart ends it.
+TEST_F(ServerRegistryTest, LeavingLastsUntilTheProcessRestarts) {
+  BackendServerEntry Entry;
+  Entry.Id = BackendServerId("a");
+  Entry.Service = Shard;
+  Entry.Zone = AvailabilityZoneId("z1");
+  Entry.StartedAtMs = 1000;
+  Registry.update(Entry, Start);
+  BackendServerPtr First = Registry.find(Entry.Id);
+  // The answer that says so arrives after the entry has gone.
+  Registry.remove(Entry.Id);
+  ServerNotice Notice;
+  Notice.Leaving = true;
+  Registry.recordNotice(*First, Notice, Start, Start);
+  Entry.Address = "10.0.0.2:80";
+  Registry.update(Entry, Start + Seconds(5));
+  EXPECT_EQ(Registry.choose(Shard, {}, Start + Seconds(5)), nullptr);
+  EXPECT_EQ(Registry.state(Shard, Start + Seconds(5)),
+            ServiceState::Unavailable);
+  Entry.StartedAtMs = 2000;
+  Registry.update(Entry, Start + Seconds(6));
+  EXPECT_NE(Registry.choose(Shard, {}, Start + Seconds(6)), nullptr);
+}
+
 } // namespace
 } // namespace mimosa
--- a/entry/backend_connection_pool.cpp
+++ b/entry/backend_connection_pool.cpp
@@ -168,8 +168,7 @@
                    " server=" + C.Server->entry().Id.text() +
                    " address=" + C.Server->entry().Address +
                    " sequence=" + std::to_string(C.Server->entry().Sequence));
-  if (Decoded.Answer.Notice.LimitUnreadable ||
-      Decoded.Answer.Notice.PauseUnreadable)
+  if (Decoded.Answer.Notice.Unreadable)
     logRequest("backend",
                "event=unreadable_notice request=" + C.RequestId.text() +
                    " server=" + C.Server->entry().Id.text());
--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -188,6 +188,7 @@
   Registry.setHostCount(Directory.sharingHosts(Loop.now()));
   uint64_t RecentAttempts = Scheduler.counters().Attempts - LastAttemptCount;
   ConnectionPool.setKeepIdle(Directory.hasCallers(RecentAttempts, Loop.now()));
+  Registry.expirePushback(Loop.now());
   ConnectionPool.closeExpired();
   updateBusy();
 }
--- a/model/load_pattern.cpp
+++ b/model/load_pattern.cpp
@@ -17,13 +17,14 @@
 constexpr int64_t MaxCount = 100000;
 constexpr double MaxFactor = 10000;
 
-constexpr std::array<std::pair<const char *, ModelEventKind>, 7> EventKinds = {{
+constexpr std::array<std::pair<const char *, ModelEventKind>, 8> EventKinds = {{
     {"slow", ModelEventKind::Slow},
     {"shed", ModelEventKind::Shed},
     {"silent", ModelEventKind::Silent},
     {"crash", ModelEventKind::Crash},
     {"limit", ModelEventKind::Limit},
     {"pause", ModelEventKind::Pause},
+    {"leave", ModelEventKind::Leave},
     {"burst", ModelEventKind::Burst},
 }};
 
@@ -156,7 +157,7 @@
     Fields.fail(ResultCode::BadField,
                 Fields.path() +
                     ".kind must be slow, shed, silent, crash, limit, "
-                    "pause or burst, not \"" +
+                    "pause, leave or burst, not \"" +
                     Kind + "\"");
   else
     Model.Kind = Found->second;
--- a/model/load_pattern.h
+++ b/model/load_pattern.h
@@ -76,6 +76,8 @@
   Crash,
   /// All requests are refused, with a wish for a pause of Factor seconds.
   Pause,
+  /// Answers say that the backend server is leaving; it is not.
+  Leave,
   /// Answers state a limit of Factor requests per second; it is not enforced.
   Limit,
   /// Callers send Factor times the requests; open loops only.
--- a/model/server_model.cpp
+++ b/model/server_model.cpp
@@ -93,6 +93,9 @@
   case ModelEventKind::Pause:
     Notice.Pause = scaled(Seconds(1), Active ? Event.Factor : 0);
     break;
+  case ModelEventKind::Leave:
+    Notice.Leaving = Active;
+    break;
   case ModelEventKind::Burst:
     break;
   }
--- a/routing/caller_request.h
+++ b/routing/caller_request.h
@@ -37,9 +37,10 @@
   /// It refused the request and wants no further one from this host for so
   /// long; 0 if it does not say so.
   Duration Pause{0};
-  /// It states a limit or a pause that could not be read.
-  bool LimitUnreadable = false;
-  bool PauseUnreadable = false;
+  /// It is shutting down and wants no further requests.
+  bool Leaving = false;
+  /// Something else that it says could not be read.
+  bool Unreadable = false;
 };
 
 /// A backend server's complete answer to one request.
--- a/tools/pushback_test.py
+++ b/tools/pushback_test.py
@@ -161,6 +161,25 @@
                 late = sum(begin + PAUSE_HEED_S <= a < begin + PAUSE_S for a in searcher.arrivals)
                 self.assertLessEqual(late, PAUSE_SLACK, searcher.name)
 
+    def test_searcher_that_says_it_leaves_gets_requests(self) -> None:
+        # Guards against requests to a searcher that leaves, whatever service discovery says.
+        callers = self.start_callers(8)
+        time.sleep(1)
+        begin = time.monotonic()
+        for searcher in self.affected():
+            searcher.headers = {"Server-Leaving": "1"}
+        time.sleep(DRAIN_LIMIT_S)
+        # It is lost by service discovery and found again.
+        for searcher in self.affected():
+            self.store.remove(f"servers/{searcher.name}")
+        time.sleep(1)
+        for searcher in self.affected():
+            self.store.put(f"servers/{searcher.name}", searcher.entry())
+        self.assert_served(self.finish(callers))
+        for searcher in self.affected():
+            late = sum(a > begin + DRAIN_LIMIT_S for a in searcher.arrivals)
+            self.assertEqual(late, 0, searcher.name)
+
 
 if __name__ == "__main__":
     unittest.main()
