Withhold requests from servers that ceased to be usable while connecting

A request that waits for its connection was sent as soon as that opened, whatever had happened meanwhile: its backend server had asked for a pause, said that it leaves, was drained, evacuated or removed. The queue of new connections is full just when a server asks for a pause, and the kernel repeats the opening packet after 1 s and more.

Change: a channel asks for the bytes of a request once its connection is established, as before, and may get none; the attempt then ends as not sent and is retried elsewhere.

--- a/entry/backend_connection_pool.cpp
+++ b/entry/backend_connection_pool.cpp
@@ -89,12 +89,24 @@
   C.Busy = true;
   ++C.Exchanges;
   ActiveChannels[Id] = Channel;
-  Channel->exchange(
-      [this, Message = Request.Message, Deadline = Request.Deadline, Server] {
-        return encodeBackendRequest(*Message, Deadline - Loop.now(),
-                                    Server->entry().Id);
-      },
-      Request.Message->IsHeadRequest, Request.MaxAnswerBytes);
+  Channel->exchange([this, Message = Request.Message,
+                     Deadline = Request.Deadline,
+                     Server] { return encode(*Message, Deadline, *Server); },
+                    Request.Message->IsHeadRequest, Request.MaxAnswerBytes);
+}
+
+std::optional<std::string>
+BackendConnectionPool::encode(const CallerRequest &Message,
+                              MonotonicTime Deadline,
+                              const BackendServer &Server) {
+  MonotonicTime Now = Loop.now();
+  if (Registry.usable(Server) && Now >= Server.pushback().pausedUntil())
+    return encodeBackendRequest(Message, Deadline - Now, Server.entry().Id);
+  ++Counters.Withheld;
+  logRequest("backend", "event=withheld request=" + Message.Id.text() +
+                            " server=" + Server.entry().Id.text() + " " +
+                            Server.pushback().describe(Now));
+  return std::nullopt;
 }
 
 void BackendConnectionPool::cancel(AttemptId Id) {
--- a/entry/backend_connection_pool.h
+++ b/entry/backend_connection_pool.h
@@ -37,6 +37,9 @@
   /// Attempts cancelled before the backend server had acknowledged all bytes of
   /// the request.
   uint64_t CancelledUndelivered = 0;
+  /// Requests that were not sent because their backend server had ceased to be
+  /// usable, or had asked for a pause, until their connection was established.
+  uint64_t Withheld = 0;
 };
 
 class BackendConnectionPool : public BackendTransport,
@@ -85,6 +88,11 @@
                   bool Reusable) override;
   void onClosed(HttpChannel &Channel, ChannelCloseReason Reason) override;
 
+  /// The bytes of a request that is sent now; empty if \p Server must not get
+  /// it any more.
+  std::optional<std::string> encode(const CallerRequest &Message,
+                                    MonotonicTime Deadline,
+                                    const BackendServer &Server);
   /// Ends the attempt on a connection whose answer cannot be trusted.
   void loseUntrusted(HttpChannel &Channel);
   HttpChannel *takeIdle(const BackendServerPtr &Server, bool FreshOnly);
--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -123,6 +123,8 @@
   Gauge("mimosa_backend_cancelled_undelivered_total", [](Node &N) {
     return N.ConnectionPool.counters().CancelledUndelivered;
   });
+  Gauge("mimosa_backend_withheld_total",
+        [](Node &N) { return N.ConnectionPool.counters().Withheld; });
   Gauge("mimosa_store_cache_replies_total",
         [](Node &N) { return N.Feed.relayCounters().Replies; });
   Gauge("mimosa_store_cache_reply_bytes_total",
--- a/entry/undelivered_request_test.cpp
+++ b/entry/undelivered_request_test.cpp
@@ -140,6 +140,8 @@
   }
 
   const ConnectionPoolCounters &counters() const { return Pool.counters(); }
+  ServerRegistry &registry() { return Registry; }
+  BackendServer &server() { return *Registry.find(BackendServerId("slow")); }
 
   /// Starts a call with a body of \p Length bytes, and runs the scheduler for
   /// \p RunTime.
@@ -213,5 +215,51 @@
   });
 }
 
+// Guards against a request that waited for its connection while its backend
+// server asked for a pause or ceased to be usable, and is sent all the same.
+TEST(UndeliveredRequest, IsNotSentToAServerThatIsNoLongerUsable) {
+  struct Case {
+    const char *Name;
+    void (*Change)(SingleServerPool &Pool, MonotonicTime Now);
+  };
+  const Case Cases[] = {
+      {"pause",
+       [](SingleServerPool &Pool, MonotonicTime Now) {
+         ServerNotice Notice;
+         Notice.Pause = Seconds(5);
+         Pool.registry().recordNotice(Pool.server(), Notice, Now, Now);
+       }},
+      {"leaving",
+       [](SingleServerPool &Pool, MonotonicTime Now) {
+         ServerNotice Notice;
+         Notice.Leaving = true;
+         Pool.registry().recordNotice(Pool.server(), Notice, Now, Now);
+       }},
+      {"evacuation",
+       [](SingleServerPool &Pool, MonotonicTime) {
+         Pool.registry().setEvacuatedZones({AvailabilityZoneId("z1")});
+       }},
+      {"removal",
+       [](SingleServerPool &Pool, MonotonicTime) {
+         Pool.registry().remove(BackendServerId("slow"));
+       }},
+  };
+  for (const Case &C : Cases)
+    runInChildProcess([&C](FiberLoop &Loop) {
+      FullServer Server;
+      SingleServerPool Pool(Loop, Server.address());
+      std::thread Opener([&] {
+        std::this_thread::sleep_for(Milliseconds(300));
+        Server.acceptFillers();
+      });
+      ScopedTimer Timer =
+          Loop.after(Milliseconds(200), [&] { C.Change(Pool, Loop.now()); });
+      Pool.run(0, Seconds(4), Seconds(2));
+      Opener.join();
+      EXPECT_EQ(Server.statedDeadlineMs(), 0) << C.Name;
+      EXPECT_EQ(Pool.counters().Withheld, 1u) << C.Name;
+    });
+}
+
 } // namespace
 } // namespace mimosa
--- a/runtime/http_channel.cpp
+++ b/runtime/http_channel.cpp
@@ -43,6 +43,10 @@
   }
   void setOptions();
   void onConnected(error_code Failure);
+  /// Encodes the request; false if it must not be sent any more.
+  bool encode();
+  /// Closes the channel after the current function has returned.
+  void closeSoon(ChannelCloseReason Reason);
   void resetParser();
   void write();
   void waitWritable();
@@ -98,14 +102,26 @@
   if (Failure)
     return closeWith(ChannelCloseReason::NothingSent);
   Connected = true;
-  if (Busy) {
-    Request = Encode();
+  if (Busy && !encode())
+    return closeWith(ChannelCloseReason::NothingSent);
+  if (Busy)
     write();
-  }
   if (!Closed)
     waitReadable();
 }
 
+bool Channel::encode() {
+  std::optional<std::string> Encoded = Encode();
+  if (Encoded)
+    Request = std::move(*Encoded);
+  return Encoded.has_value();
+}
+
+void Channel::closeSoon(ChannelCloseReason Reason) {
+  asio::post(Socket.get_executor(),
+             [Self = self(), Reason] { Self->closeWith(Reason); });
+}
+
 void Channel::resetParser() {
   Parser.emplace();
   BodyShare.reset();
@@ -127,14 +143,12 @@
   if (!Connected)
     return;
   // Events must not be reported before exchange() has returned.
+  if (!encode())
+    return closeSoon(ChannelCloseReason::NothingSent);
   error_code Failure;
-  Request = Encode();
   Written = Socket.write_some(asio::buffer(Request), Failure);
   if (Failure && Failure != asio::error::would_block)
-    asio::post(Socket.get_executor(), [Self = self()] {
-      if (!Self->Closed)
-        Self->closeWith(ChannelCloseReason::Lost);
-    });
+    closeSoon(ChannelCloseReason::Lost);
   else if (Written < Request.size())
     waitWritable();
 }
--- a/runtime/http_channel.h
+++ b/runtime/http_channel.h
@@ -19,6 +19,9 @@
 #include "runtime/http.h"
 #include "runtime/receive_budget.h"
 
+#include <functional>
+#include <optional>
+
 namespace mimosa {
 
 /// A complete response as received from the server.
@@ -31,7 +34,7 @@
 /// Why a channel was closed by the server or by an error.
 enum class ChannelCloseReason {
   /// The connection failed while no request ran, or before any byte of the
-  /// request was sent.
+  /// request was sent, or the request was not to be sent any more.
   NothingSent,
   /// The connection failed before the response was complete. The request may
   /// have been sent.
@@ -42,8 +45,9 @@
 
 class HttpChannel;
 
-/// Returns the bytes of a request that is sent now.
-using RequestEncoder = std::function<std::string()>;
+/// Returns the bytes of a request that is sent now; empty if it must not be
+/// sent any more.
+using RequestEncoder = std::function<std::optional<std::string>()>;
 
 /// Event handlers of channels.
 class HttpChannelEvents {
@@ -71,10 +75,10 @@
                                                    ReceiveBudget &Budget);
   virtual ~HttpChannel();
 
-  /// Sends what \p Encode returns as soon as the connection is established. No
-  /// other request may be running. A response with a body of more than
-  /// \p MaxBodyBytes is malformed. Events are reported only after exchange()
-  /// has returned.
+  /// Sends what \p Encode returns as soon as the connection is established, or
+  /// closes it if that is empty. No other request may be running. A response
+  /// with a body of more than \p MaxBodyBytes is malformed. Events are reported
+  /// only after exchange() has returned.
   virtual void exchange(RequestEncoder Encode, bool IsHeadRequest,
                         size_t MaxBodyBytes) = 0;
   /// Closes the connection; no event is reported. Bytes that are still waiting
