--- a/entry/undelivered_request_test.cpp
+++ b/entry/undelivered_request_test.cpp
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include <atomic>
+#include <cerrno>
 #include <string>
 #include <thread>
 
@@ -85,8 +86,10 @@
   FullServer() : Listener(listenOnFreePort(0, &Endpoint)) {
     for (int &Filler : Fillers) {
       Filler = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      connect(Filler, reinterpret_cast<sockaddr *>(&Endpoint),
-              sizeof(Endpoint));
+      if (connect(Filler, reinterpret_cast<sockaddr *>(&Endpoint),
+                  sizeof(Endpoint)) != 0 &&
+          errno != EINPROGRESS)
+        throw std::runtime_error("cannot connect to 127.0.0.1");
     }
   }
   ~FullServer() {
