Say in the log which words of which backend server held a request back

A refusal because of limits, pauses or leaving servers named only its reason. The line of the request now has held_back=SERVICE:SERVER/WORD/AGE for up to three services, also for an answer that lacks shards for that cause, and mimosactl explain turns it into sentences and shows the related pushback lines. RequestTimeline.ExplainsEveryOutcome covers the new reasons; before, waited_too_long had no explanation either.

--- a/balance/call.h
+++ b/balance/call.h
@@ -69,6 +69,7 @@
   uint32_t Attempts = 0;
   /// Attempts whose connection broke while the request may have been running.
   uint32_t LostAttempts = 0;
+  ServiceId Service;
 };
 
 /// State of a call that has not ended, for logs.
--- a/balance/call_scheduler.cpp
+++ b/balance/call_scheduler.cpp
@@ -316,6 +316,7 @@
   Calls.erase(It);
   detach(Call.OpenAttempts, DetachedGrace, Now);
   CallResult Result;
+  Result.Service = Call.Request.Service;
   Result.Outcome = Outcome;
   Result.Reason = Reason;
   if (Answer)
--- a/balance/call_scheduler.h
+++ b/balance/call_scheduler.h
@@ -142,6 +142,7 @@
   }
   void onTimer(MonotonicTime Now);
 
+  const ServerRegistry &registry() const { return Registry; }
   void setRetryBudget(RetryBudgetOptions Options) { BudgetOptions = Options; }
   const CallCounters &counters() const { return Counters; }
   /// Number of queued calls.
--- a/balance/server_pushback.cpp
+++ b/balance/server_pushback.cpp
@@ -44,6 +44,7 @@
   if (Notice.Pause > Duration(0) && PauseEnd > PausedUntil) {
     Changes += PausedUntil <= Now ? 1 : 0;
     PausedUntil = PauseEnd;
+    PauseStatedAt = Now;
   }
   if (Notice.Limit) {
     Duration Interval = interval(*Notice.Limit, HostCount);
@@ -84,6 +85,21 @@
   return Limit ? interval(*Limit, HostCount) : Duration(0);
 }
 
+std::string ServerPushback::reasonHeldBack(uint32_t HostCount,
+                                           MonotonicTime Now) const {
+  auto Reason = [Now](const char *Word, MonotonicTime StatedAt) {
+    return std::string(Word) + "/" +
+           std::to_string(inMilliseconds(Now - StatedAt));
+  };
+  if (LeavingSince)
+    return Reason("leaving", *LeavingSince);
+  if (Now < PausedUntil)
+    return Reason("paused", PauseStatedAt);
+  if (Now < nextSendAt(HostCount))
+    return Reason("limited", LimitStatedAt);
+  return "";
+}
+
 std::string ServerPushback::describe(MonotonicTime Now) const {
   return std::string("leaving=") + (leaving() ? "1" : "0") + " limit_per_s=" +
          (Limit ? std::to_string(Limit->PerSecond) : std::string("none")) +
--- a/balance/server_pushback.h
+++ b/balance/server_pushback.h
@@ -64,6 +64,10 @@
   MonotonicTime pausedUntil() const { return PausedUntil; }
   /// How often that which it asks for has changed.
   uint64_t changes() const { return Changes; }
+  /// Which of its words holds back the next request and how old it is, for
+  /// logs: "leaving/AGE", "paused/AGE" or "limited/AGE" with the milliseconds
+  /// since it was heard last; "" if none does.
+  std::string reasonHeldBack(uint32_t HostCount, MonotonicTime Now) const;
   /// What it asks for, for logs.
   std::string describe(MonotonicTime Now) const;
 
@@ -79,6 +83,7 @@
   /// When the next request is due if requests are sent at even intervals.
   MonotonicTime NextDueAt;
   MonotonicTime PausedUntil;
+  MonotonicTime PauseStatedAt;
   std::optional<MonotonicTime> LeavingSince;
   uint64_t Changes = 0;
 };
--- a/balance/server_registry.cpp
+++ b/balance/server_registry.cpp
@@ -80,6 +80,17 @@
   return SameProcess ? Found->second : nullptr;
 }
 
+std::string ServerRegistry::describeHeldBack(const ServiceId &Service,
+                                             MonotonicTime Now) const {
+  std::string Out = Service.text();
+  for (const BackendServerPtr &Server : servers(Service)) {
+    std::string Reason = Server->pushback().reasonHeldBack(HostCount, Now);
+    if (!Reason.empty())
+      Out += ":" + Server->entry().Id.text() + "/" + Reason;
+  }
+  return Out;
+}
+
 void ServerRegistry::expirePushback(MonotonicTime Now) {
   for (const auto &[Id, Server] : ById)
     Server->pushback().expire(Now);
--- a/balance/server_registry.h
+++ b/balance/server_registry.h
@@ -88,6 +88,10 @@
   /// asked this host to pause.
   size_t limitedServers() const;
   size_t pausedServers(MonotonicTime Now) const;
+  /// Why backend servers of \p Service are held back, for logs:
+  /// "SERVICE[:SERVER/WORD/AGE]...", see ServerPushback::reasonHeldBack().
+  std::string describeHeldBack(const ServiceId &Service,
+                               MonotonicTime Now) const;
   /// Must be called about once a second.
   void expirePushback(MonotonicTime Now);
 
--- a/entry/backend_connection_pool.cpp
+++ b/entry/backend_connection_pool.cpp
@@ -207,7 +207,7 @@
   if (Server->pushback().changes() != ChangesBefore)
     logInfo("backend", "event=pushback server=" + Server->entry().Id.text() +
                            " service=" + Server->entry().Service.text() +
-                           " request=" + RequestId.text() +
+                           " answer_to=" + RequestId.text() +
                            " hosts=" + std::to_string(Registry.hostCount()) +
                            " " + Server->pushback().describe(Loop.now()));
   return true;
--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -19,6 +19,8 @@
 constexpr Duration StoppingRetryAfter = Milliseconds(20);
 /// A request that crashes backend servers stays quarantined for minutes.
 constexpr Duration QuarantinedRetryAfter = Seconds(10);
+/// Services whose held back servers a line of the log names.
+constexpr size_t MaxDescribedServices = 3;
 
 /// Wakes the fiber of a request when its call has ended.
 class SingleObserver : public CallObserver {
@@ -37,9 +39,13 @@
   explicit GatherObserver(GatherQuery &Query) : Query(Query) {}
   void callEnded(CallId, CallResult Result) override {
     Query.addResult(Result);
+    if (Result.Reason == CallReason::HeldBack)
+      HeldBack.push_back(std::move(Result.Service));
     Changed.set();
   }
   GatherQuery &Query;
+  /// Shards whose backend servers allowed no request in time.
+  std::vector<ServiceId> HeldBack;
   FiberEvent Changed;
 };
 
@@ -115,12 +121,22 @@
     StrikeCallback(*Strike);
 }
 
+std::string
+EntryService::describeHeldBack(const std::vector<ServiceId> &Services) const {
+  std::string Out;
+  for (size_t I = 0; I < std::min(Services.size(), MaxDescribedServices); ++I)
+    Out += (I == 0 ? " held_back=" : ",") +
+           Scheduler.registry().describeHeldBack(Services[I], Loop.now());
+  return Out;
+}
+
 HttpResponse EntryService::refuse(const RequestContext &Context,
                                   ResultCode Code, const std::string &Reason,
-                                  Duration RetryAfter) {
+                                  Duration RetryAfter,
+                                  const std::string &Detail) {
   recordOutcome(Context, "refused",
                 "reason=" + Reason + " retry_after_ms=" +
-                    std::to_string(inMilliseconds(RetryAfter)));
+                    std::to_string(inMilliseconds(RetryAfter)) + Detail);
   return encodeRefusal({Code, Reason}, RetryAfter);
 }
 
@@ -250,8 +266,10 @@
     return Out;
   }
   case CallOutcome::NotRun:
-    return refuse(Context, ResultCode::Overloaded, callReasonName(R.Reason),
-                  retryAfter(R.Reason, availableIn(Context, *Service), Rng));
+    return refuse(
+        Context, ResultCode::Overloaded, callReasonName(R.Reason),
+        retryAfter(R.Reason, availableIn(Context, *Service), Rng),
+        R.Reason == CallReason::HeldBack ? describeHeldBack({*Service}) : "");
   case CallOutcome::Unknown:
     break;
   }
@@ -274,6 +292,17 @@
   return MayHaveRun;
 }
 
+std::vector<ServiceId>
+EntryService::heldBackShards(const RequestContext &Context,
+                             MonotonicTime Now) const {
+  std::vector<ServiceId> Out;
+  for (const ServiceId &Shard : Context.MatchedRoute.Shards)
+    if (Scheduler.expectedSendAt(Shard, Context.MatchedRoute.Priority, Now) >
+        Context.Times.PartialFrom)
+      Out.push_back(Shard);
+  return Out;
+}
+
 HttpResponse EntryService::serveGather(const RequestContext &Context) {
   MonotonicTime Now = Loop.now();
   MonotonicTime AvailableAt =
@@ -283,7 +312,8 @@
                   retryAfter(CallReason::Unavailable, Duration(0), Rng));
   if (AvailableAt > Context.Times.PartialFrom)
     return refuse(Context, ResultCode::Overloaded, "shards_held_back",
-                  retryAfter(CallReason::HeldBack, AvailableAt - Now, Rng));
+                  retryAfter(CallReason::HeldBack, AvailableAt - Now, Rng),
+                  describeHeldBack(heldBackShards(Context, Now)));
   GatherQuery Query(Context.MatchedRoute, Context.Times);
   GatherObserver Observer(Query);
   std::vector<CallId> Ids;
@@ -314,7 +344,8 @@
   std::string Detail = "shards=" + std::to_string(Query.totalShards()) +
                        " missing=" + std::to_string(Query.missingShards()) +
                        " reason=" + callReasonName(Query.lastReason()) +
-                       (Unfinished.empty() ? "" : " unfinished=" + Unfinished);
+                       (Unfinished.empty() ? "" : " unfinished=" + Unfinished) +
+                       describeHeldBack(Observer.HeldBack);
   if (Decision == GatherDecision::Answer) {
     recordOutcome(Context, Query.missingShards() ? "partial" : "answered",
                   Detail);
@@ -324,7 +355,8 @@
   if (!MayHaveRun)
     return refuse(Context, ResultCode::Overloaded,
                   callReasonName(Query.lastReason()),
-                  retryAfter(Query.lastReason(), Duration(0), Rng));
+                  retryAfter(Query.lastReason(), Duration(0), Rng),
+                  describeHeldBack(Observer.HeldBack));
   return fail(Context, Now >= Context.Times.Deadline, Detail);
 }
 
--- a/entry/entry_service.h
+++ b/entry/entry_service.h
@@ -74,8 +74,16 @@
   bool cancelUnfinished(const RequestContext &Context,
                         const std::vector<CallId> &Ids,
                         std::string *Unfinished);
+  /// \p Detail is added to the line of the log.
   HttpResponse refuse(const RequestContext &Context, ResultCode Code,
-                      const std::string &Reason, Duration RetryAfter);
+                      const std::string &Reason, Duration RetryAfter,
+                      const std::string &Detail = "");
+  /// The shards to which a call could only be sent too late, because of what
+  /// their backend servers have asked for.
+  std::vector<ServiceId> heldBackShards(const RequestContext &Context,
+                                        MonotonicTime Now) const;
+  /// Which backend servers of \p Services are held back and why, for the log.
+  std::string describeHeldBack(const std::vector<ServiceId> &Services) const;
   HttpResponse fail(const RequestContext &Context, bool TimedOut,
                     const std::string &Reason);
   /// Returns a response that closes the connection without an answer.
--- a/tools/request_timeline.cpp
+++ b/tools/request_timeline.cpp
@@ -37,6 +37,12 @@
     {"unavailable", "no backend server of the service could be reached"},
     {"overloaded", "the queue was too long for an answer before the deadline"},
     {"shed", "the backend servers declined it because of their load"},
+    {"shards_held_back", "the backend servers of too many shards had asked for "
+                         "fewer requests, a pause or none"},
+    {"held_back", "the backend servers of the service had asked for fewer "
+                  "requests, a pause or none"},
+    {"waited_too_long", "its deadline had passed before the host began with "
+                        "it"},
     {"crashes_backend_servers", "the request is quarantined, because earlier "
                                 "attempts lost the connection to their backend "
                                 "servers"},
@@ -147,6 +153,21 @@
   return "shard " + Words.front() + ": " + Sent + Notes;
 }
 
+/// Explains which words of which backend servers held a call back. \p Text is
+/// one value of the field "held_back": "SERVICE[:SERVER/WORD/AGE]...".
+std::string heldBackCause(const std::string &Text) {
+  std::vector<std::string> Words = split(Text, ':');
+  std::string Out = "service " + Words.front() + ":";
+  for (size_t I = 1; I < Words.size(); ++I) {
+    std::vector<std::string> Parts = split(Words[I], '/');
+    if (Parts.size() == 3)
+      Out += (I == 1 ? " " : ", ") + Parts[0] + " " + Parts[1] + " (heard " +
+             Parts[2] + " ms before)";
+  }
+  return Words.size() == 1 ? Out + " no backend server is held back any more"
+                           : Out;
+}
+
 /// The backend servers and services that a line of the request names.
 std::set<std::string> namesIn(const LogLine &Line) {
   std::set<std::string> Out;
@@ -156,6 +177,9 @@
   for (const std::string &Shard : split(Line.field("unfinished"), ','))
     for (const std::string &Word : split(Shard, ':'))
       Out.insert(Word);
+  for (const std::string &Service : split(Line.field("held_back"), ','))
+    for (const std::string &Word : split(Service, ':'))
+      Out.insert(Word.substr(0, Word.find('/')));
   return Out;
 }
 
@@ -190,10 +214,17 @@
 std::vector<std::string> causesOf(const LogLine &Line) {
   std::string Outcome = Line.field("outcome");
   std::string Reason = Line.field("reason");
-  if (Outcome == "refused")
-    return {"the request was refused and has not run: " +
-            explain(RefusalReasons, Reason)};
-  std::vector<std::string> Out = {explain(OtherOutcomes, Outcome)};
+  std::vector<std::string> HeldBack;
+  for (const std::string &Service : split(Line.field("held_back"), ','))
+    HeldBack.push_back(heldBackCause(Service));
+  std::vector<std::string> Out;
+  if (Outcome == "refused") {
+    Out = {"the request was refused and has not run: " +
+           explain(RefusalReasons, Reason)};
+    Out.insert(Out.end(), HeldBack.begin(), HeldBack.end());
+    return Out;
+  }
+  Out = {explain(OtherOutcomes, Outcome)};
   if (!Line.field("elapsed_us").empty())
     Out.front() += ", after " + Line.field("elapsed_us") + " us";
   if (!Reason.empty() && Reason != "none" && Outcome != "bad_request")
@@ -203,6 +234,7 @@
                        : explain(RefusalReasons, Reason)));
   for (const std::string &Shard : split(Line.field("unfinished"), ','))
     Out.push_back(shardCause(Shard));
+  Out.insert(Out.end(), HeldBack.begin(), HeldBack.end());
   return Out;
 }
 
--- a/tools/request_timeline_test.cpp
+++ b/tools/request_timeline_test.cpp
@@ -58,6 +58,11 @@
   };
   const Case Cases[] = {
       {"outcome=refused reason=unconfigured", "had no configuration yet"},
+      {"outcome=refused reason=shards_held_back "
+       "held_back=s1:i-1/limited/3200:i-2/paused/90",
+       "service s1: i-1 limited (heard 3200 ms before), i-2 paused (heard 90 "
+       "ms before)"},
+      {"outcome=partial held_back=s1:i-1/leaving/7,s2", "i-1 leaving"},
       {"outcome=refused reason=stopping", "planned stop"},
       {"outcome=refused reason=shards_unavailable", "minimum coverage"},
       {"outcome=refused reason=unavailable", "could be reached"},
