--- a/tools/soak.py
+++ b/tools/soak.py
@@ -195,6 +195,8 @@
             "searchers_misbehave": self._searchers_misbehave,
             "searchers_drain": self._searchers_drain,
             "searchers_leave_unsaid": self._searchers_leave_unsaid,
+            "searchers_say_they_leave": self._searchers_say_they_leave,
+            "searchers_state_limits": self._searchers_state_limits,
             "callers_link": self._callers_link,
             "host_killed": lambda: self._hosts_killed([self._random_host()]),
             "all_hosts_killed": lambda: self._hosts_killed(self.system.hosts),
@@ -320,6 +322,44 @@
             self._leave(process, process.remove_entries)
         return lambda: None
 
+    def _searchers_say_they_leave(self) -> Action:
+        """Only the answers say so; the entries stay until the searchers have ended."""
+        process = self._random_searcher_process()
+        if process.state != "ready" or process.speaks:
+            return lambda: None
+        process.speaks = True
+        process.state_in_answers({"Server-Leaving": "1"}, leaving=True)
+        starts = process.starts
+
+        def end() -> None:
+            if process.starts == starts and process.state == "ready":
+                process.state = "gone"
+                process.remove_entries()
+                process.kill()
+                process.start()
+        timer = threading.Timer(2 * DRAINING_TIME_S, end)
+        timer.daemon = True
+        timer.start()
+        self.pending.append(timer)
+        return lambda: None
+
+    def _searchers_state_limits(self) -> Action:
+        process = self._random_searcher_process()
+        if process.state != "ready" or process.speaks:
+            return lambda: None
+        process.speaks = True
+        limit = self.rng.choice(STATED_LIMITS)
+        statements = process.state_in_answers({"Server-Limit": str(limit)}, limit=limit)
+        starts = process.starts
+
+        def lift() -> None:
+            for statement in statements:
+                statement.end = time.monotonic()
+            if process.starts == starts and process.state != "gone":
+                process.speaks = False
+                process.set("headers", {})
+        return lift
+
     def _callers_link(self) -> Action:
         host = self._random_host()
         host.caller_proxy.inject(self.rng.choice(LINK_MODES))
@@ -408,7 +448,10 @@
 
 #: Ranges of the durations of faults that do not last DEFAULT_DURATION_S.
 DURATIONS_S = {"evacuation": (6.0, 8.0), "all_hosts_killed": (0.5, 1.5),
-               "host_paused": (0.1, 1.5), "searchers_paused": (0.1, 1.5)}
+               "host_paused": (0.1, 1.5), "searchers_paused": (0.1, 1.5),
+               "searchers_state_limits": (6.0, 9.0)}
+#: Requests a second that searchers state as their limit; each gets about 8.
+STATED_LIMITS = (1.5, 3)
 DEFAULT_DURATION_S = (0.1, 2.5)
 
 
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -30,6 +30,14 @@
 ABANDON_SLACK_S = 0.5
 #: A response may arrive this long after the route's timeout.
 RESPONSE_SLACK_S = 0.5
+#: A limit is kept from HEED_S after it was first stated: over any LIMIT_WINDOW_S, LIMIT_OVERAGE
+#: times what it allows and LIMIT_SLACK requests.
+HEED_S = 4.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVERAGE = 1.5
+LIMIT_SLACK = 5
+#: A host has read the answer that states something this long after the run.
+HEARD_S = 0.5
 #: Abandoned requests that may still begin to run after ABANDON_SLACK_S.
 MAX_RUNS_AFTER_ABANDON = 3
 
@@ -106,6 +114,17 @@
     planned: bool = False
 
 
+@dataclasses.dataclass
+class Statement:
+    """What a searcher says in all its answers for some time."""
+    searcher: str
+    begin: float
+    end: float = float("inf")
+    leaving: bool = False
+    #: Requests a second that it accepts from all hosts together.
+    limit: Optional[float] = None
+
+
 @dataclasses.dataclass
 class Exit:
     process: str
@@ -127,6 +146,7 @@
     versions: list[ConfigVersion] = dataclasses.field(default_factory=list)
     disturbances: list[Span] = dataclasses.field(default_factory=list)
     evacuations: list[Span] = dataclasses.field(default_factory=list)
+    statements: list[Statement] = dataclasses.field(default_factory=list)
     exits: list[Exit] = dataclasses.field(default_factory=list)
     #: When the soak sent SIGTERM, by process.
     stops: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -318,6 +338,60 @@
             if span.scope == info.zone and span.begin + EVACUATION_LIMIT_S < run.at < span.end]
 
 
+def _heard_at(history: History, statement: Statement) -> dict[str, float]:
+    """Returns when each host process has certainly read the statement."""
+    requests = history.by_id()
+    heard: dict[str, float] = {}
+    for run in history.runs:
+        request = requests.get(run.request_id)
+        if run.searcher == statement.searcher and run.at > statement.begin \
+                and request is not None and request.outcome == "answer" \
+                and history.is_calm((request.host, ALL_SEARCHERS), run.at, run.at + HEARD_S):
+            heard[request.process] = min(heard.get(request.process, float("inf")),
+                                         run.at + HEARD_S)
+    return heard
+
+
+def _runs_of_informed(history: History, statement: Statement) -> Iterable[tuple[Run, Request]]:
+    """The runs at its searcher for calm hosts that had read the statement."""
+    requests = history.by_id()
+    heard = _heard_at(history, statement)
+    for run in history.runs:
+        request = requests.get(run.request_id)
+        if run.searcher == statement.searcher and request is not None \
+                and run.at > heard.get(request.process, float("inf")) \
+                and history.is_calm((request.host, ALL_SEARCHERS), run.at, run.at):
+            yield run, request
+
+
+def _said_leaving(history: History) -> list[str]:
+    """A host sends nothing more to a searcher that says it is leaving."""
+    found = []
+    for statement in history.statements:
+        heard = _heard_at(history, statement) if statement.leaving else {}
+        found += [f"{run.searcher} ran {run.request_id} of {request.process}, which had heard "
+                  f"that it leaves {request.sent_at - heard[request.process]:.2f} s before"
+                  for run, request in (_runs_of_informed(history, statement) if heard else ())
+                  if request.sent_at > heard[request.process] + DRAIN_LIMIT_S]
+    return found
+
+
+def _limited(history: History) -> list[str]:
+    """All hosts together keep the limits that searchers state."""
+    found = []
+    for statement in history.statements:
+        if statement.limit is None:
+            continue
+        allowed = LIMIT_OVERAGE * LIMIT_WINDOW_S * statement.limit + LIMIT_SLACK
+        times = sorted(run.at for run, _ in _runs_of_informed(history, statement)
+                       if statement.begin + HEED_S < run.at < statement.end)
+        most = max((sum(a <= b < a + LIMIT_WINDOW_S for b in times) for a in times), default=0)
+        if most > allowed:
+            found.append(f"{statement.searcher} ran {most} requests in {LIMIT_WINDOW_S} s, "
+                         f"allowed are {allowed}")
+    return found
+
+
 def _nothing_cut(history: History) -> list[str]:
     """Planned work aborts no request that was received."""
     runs = history.runs_by_id()
@@ -393,6 +467,8 @@
     "never_back": _never_back,
     "drained": _drained,
     "evacuated": _evacuated,
+    "said_leaving": _said_leaving,
+    "limited": _limited,
     "nothing_cut": _nothing_cut,
     "left_alone": _left_alone,
     "in_time": _in_time,
@@ -535,6 +611,31 @@
     return False
 
 
+def _run_where_leaving_was_said(history: History) -> bool:
+    for statement in history.statements:
+        heard = _heard_at(history, statement) if statement.leaving else {}
+        for request in history.requests:
+            at = request.sent_at + 0.01
+            if at > heard.get(request.process, float("inf")) + DRAIN_LIMIT_S + 0.1 \
+                    and history.is_calm((request.host, ALL_SEARCHERS), at, at):
+                history.runs.append(Run(at, statement.searcher, request.request_id,
+                                        request.request_line, len(request.body)))
+                return True
+    return False
+
+
+def _exceed_limit(history: History) -> bool:
+    for statement in history.statements:
+        if statement.limit is None:
+            continue
+        for run, _ in _runs_of_informed(history, statement):
+            if statement.begin + HEED_S < run.at < statement.end:
+                allowed = LIMIT_OVERAGE * LIMIT_WINDOW_S * statement.limit + LIMIT_SLACK
+                history.runs += [run] * (int(allowed) + 1)
+                return True
+    return False
+
+
 def _abort_at_stop(history: History) -> bool:
     for request in history.requests:
         stop = history.stops.get(request.process)
@@ -597,12 +698,19 @@
     "hosts do not recover": ("recovers", _fail_after_recovery),
 }
 
+#: The same for histories with statements.
+STATEMENT_VIOLATIONS: dict[str, tuple[str, Callable[[History], bool]]] = {
+    "a searcher that says it leaves gets work": ("said_leaving", _run_where_leaving_was_said),
+    "a stated limit is passed": ("limited", _exceed_limit),
+}
+
 
 def unfound_violations(history: History) -> tuple[list[str], list[str]]:
     """Returns the injected violations that their check did not find, and those that
     do not apply to this history."""
     missed, without = [], []
-    for name, (check, change) in INJECTED_VIOLATIONS.items():
+    injected = {**INJECTED_VIOLATIONS, **(STATEMENT_VIOLATIONS if history.statements else {})}
+    for name, (check, change) in injected.items():
         broken = copy.deepcopy(history)
         if not change(broken):
             without.append(name)
--- a/tools/soak_system.py
+++ b/tools/soak_system.py
@@ -65,6 +65,8 @@
         self.names: dict[str, str] = {}
         #: "ready", "draining", or "gone" while it has no entries.
         self.state = "gone"
+        #: Whether its searchers say something in their answers.
+        self.speaks = False
         self.process: Optional[subprocess.Popen[str]] = None
 
     def start(self) -> None:
@@ -84,6 +86,7 @@
             self.system.history.searchers[name] = checks.SearcherInfo(service, self.zone)
         threading.Thread(target=self._read, args=(process,), daemon=True).start()
         self.state = "ready"
+        self.speaks = False
         self.announce()
 
     def _read(self, process: subprocess.Popen[str]) -> None:
@@ -126,6 +129,16 @@
             self.process.stdin.write(f"{name} {field} {value!r}\n")
         self.process.stdin.flush()
 
+    def state_in_answers(self, headers: dict[str, str], leaving: bool = False,
+                         limit: Optional[float] = None) -> list[checks.Statement]:
+        """Lets its searchers say something in all their answers from now on."""
+        self.set("headers", headers)
+        now = time.monotonic()
+        statements = [checks.Statement(name, now, leaving=leaving, limit=limit)
+                      for name in self.names.values()]
+        self.system.history.statements += statements
+        return statements
+
     def inject(self, mode: Mode) -> None:
         for proxy in self.proxies.values():
             proxy.inject(mode)
--- a/tools/soak_test.py
+++ b/tools/soak_test.py
@@ -7,11 +7,13 @@
 import soak
 
 SECONDS = 6.0
+#: A limit has to be kept from 4 s after it was stated, for 4 s and more.
+LONG_SECONDS = 14.0
 
 
 class SoakTest(unittest.TestCase):
-    def run_soak(self, seed: int, kinds: list[str]) -> soak.Outcome:
-        outcome = soak.run_one(seed, soak.Settings(SECONDS, kinds=kinds), soak.VIOLATION_LOGS)
+    def run_soak(self, seed: int, kinds: list[str], seconds: float = SECONDS) -> soak.Outcome:
+        outcome = soak.run_one(seed, soak.Settings(seconds, kinds=kinds), soak.VIOLATION_LOGS)
         self.assertEqual(outcome.violations, {}, outcome.line())
         self.assertEqual(outcome.missed, [], "the checks do not find these injected violations")
         return outcome
@@ -29,6 +31,13 @@
         self.run_soak(1, ["host_killed", "searchers_killed", "searchers_unreachable",
                           "store_loses_answers", "configuration"])
 
+    def test_statements_of_searchers_are_kept(self) -> None:
+        # Guards against requests beyond a stated limit, or to searchers that say they leave, while
+        # the configuration changes. Both injected violations must apply and be found.
+        outcome = self.run_soak(2, ["searchers_say_they_leave", "searchers_state_limits",
+                                    "configuration", "settings_reloaded"], LONG_SECONDS)
+        self.assertFalse(set(outcome.without) & set(soak.checks.STATEMENT_VIOLATIONS))
+
 
 if __name__ == "__main__":
     unittest.main()
