Bound the log lines on what backend servers ask for

A server that changes its limit with each answer made each host write a line for each. The lines now count as lines on requests, whose rate is limited.

--- a/balance/call_scheduler.h
+++ b/balance/call_scheduler.h
@@ -26,9 +26,8 @@
 //   too long. The others are answered in time.
 // * Backend servers ask for a pause or limit the rate of requests: each host
 //   keeps to it (server_pushback.h), whatever the purpose of an attempt. A call
-//   waits for
-//   the next request that is allowed if it can still be useful, and otherwise
-//   ends at once as NotRun.
+//   waits until a request is allowed if it can still be useful then, and
+//   otherwise ends at once as NotRun.
 // * All backend servers of a service have failed: each gets one trial request
 //   at a time, and other calls end at once as Unavailable.
 // * Backend servers crash, and others take over their addresses before service
--- a/entry/backend_connection_pool.cpp
+++ b/entry/backend_connection_pool.cpp
@@ -205,11 +205,11 @@
   uint64_t ChangesBefore = Server->pushback().changes();
   Scheduler->onAnswered(Id, std::move(Decoded.Answer), Loop.now());
   if (Server->pushback().changes() != ChangesBefore)
-    logInfo("backend", "event=pushback server=" + Server->entry().Id.text() +
-                           " service=" + Server->entry().Service.text() +
-                           " answer_to=" + RequestId.text() +
-                           " hosts=" + std::to_string(Registry.hostCount()) +
-                           " " + Server->pushback().describe(Loop.now()));
+    logRequest("backend", "event=pushback server=" + Server->entry().Id.text() +
+                              " service=" + Server->entry().Service.text() +
+                              " answer_to=" + RequestId.text() +
+                              " hosts=" + std::to_string(Registry.hostCount()) +
+                              " " + Server->pushback().describe(Loop.now()));
   return true;
 }
 
