--- a/balance/server_pushback.h
+++ b/balance/server_pushback.h
@@ -1,10 +1,9 @@
 // What a backend server asks of its callers in its answers, and how far this
 // host has to hold back because of it.
 //
-//   Pushback.record(Notice, SentAt, HostCount, Phase, Now);   // for each
-//   answer if (Pushback.nextSendAt(HostCount) <= Now)                // may
-//   send
-//     Pushback.recordSend(HostCount, Now);
+//   Pushback.record(Notice, SentAt, HostCount, Phase, Now);  // each answer
+//   if (Pushback.nextSendAt(HostCount) <= Now)
+//     Pushback.recordSend(HostCount, Now);                   // each request
 //
 // A rate limit is one amount for all hosts. Each host uses an equal share, by a
 // token bucket (the generic cell rate algorithm of ATM Forum TM 4.1): the sum
