--- a/review/2/case.py
+++ b/review/2/case.py
@@ -24,7 +24,7 @@
 CONFIG_APPLY_S = 6.0
 REQUESTS = 20
 
-record = Record(FOLDER)
+record = Record(FOLDER / "record.txt")
 store = Store(record)
 searcher = Searcher("facturation", "i-0000", record)
 store.put("servers/i-0000", searcher.entry())
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -63,7 +63,7 @@
         return None
 
 
-record = Record(FOLDER)
+record = Record(FOLDER / "record.txt")
 store = Store(record)
 faulty = EndlessSearcher("facturation", "i-0", record)
 sound = [Searcher("facturation", f"i-{n}", record) for n in (1, 2)]
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -29,7 +29,7 @@
 #: The limit of a value in the store (platform.maxValueBytes).
 MAX_VALUE_BYTES = 1_048_576
 
-record = Record(FOLDER)
+record = Record(FOLDER / "record.txt")
 store = Store(record)
 searchers = [Searcher("facturation", f"i-{n}", record) for n in range(4)]
 for each in searchers:
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -20,7 +20,7 @@
 #: A request that was sent to the searcher in time has reached it by then.
 ON_THE_WAY_S = 0.05
 
-record = Record(FOLDER)
+record = Record(FOLDER / "record.txt")
 store = Store(record)
 searchers = [Searcher("repartition", f"i-{n}", record, slots=6) for n in range(3)]
 for each in searchers:
--- a/review/lib/stand_ins.py
+++ b/review/lib/stand_ins.py
@@ -1,6 +1,6 @@
 """Stand-ins and helpers of the review's scripts.
 
-    record = Record(folder)
+    record = Record(folder / "record.txt")
     store = Store(record)                    # the platform's store
     searcher = Searcher("billing", "i-1", record)
     store.put("servers/i-1", searcher.entry())
@@ -60,10 +60,10 @@
 
 
 class Record:
-    """Writes what was sent, answered and run to record.txt of the case."""
+    """Writes what was sent, answered and run to a file, the record.txt of a case."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        self._file = open(folder / "record.txt", "w", encoding="utf-8")
+    def __init__(self, path: pathlib.Path) -> None:
+        self._file = open(path, "w", encoding="utf-8")
         self._lock = threading.Lock()
         self.begin = time.monotonic()
         self(f"trouble={int(TROUBLE)}")
