Keep a change that happens between two pages of a listing

Cause: StoreCache::applyChange() raised the revision of the cache to that of each item of a listing. The next watch asked only for changes after the newer one.

Change: a listing sets the revision to that of its first page and nothing more; watches set it by advanceTo(). The property test then found two more ways to miss a change: removals implied by a listing were logged for followers with too low a revision, and removals of items that were already gone were not logged at all. The log now starts anew with each listing, and keeps such removals.

Why it works: for each revision from which a follower may ask, the log holds all later changes, or the follower gets everything.

--- a/store_cache/store_cache.cpp
+++ b/store_cache/store_cache.cpp
@@ -32,24 +32,25 @@
   auto Found = Items.find(Item.Key);
   if (Found != Items.end() && Item.Revision <= Found->second.Revision)
     return false;
-  if (Found == Items.end() && !Item.Value)
+  if (Found == Items.end() && !Item.Value) {
+    // A listing may have lacked the item already, but not so for followers.
+    appendToLog(Item);
     return false;
+  }
   if (Item.Value)
     Items[Item.Key] = Item;
   else
     Items.erase(Found);
   appendToLog(Item);
-  advanceTo(Item.Revision);
   return true;
 }
 
 std::vector<StoreItem>
 StoreCache::applyListing(const std::vector<StoreItem> &Listing,
                          StoreRevision ListingRevision) {
-  // The log starts at the first listing; the single changes before it are not
-  // known.
-  if (!HasListing)
-    LogStart = ListingRevision;
+  // A listing does not tell when items were removed, so that the log can only
+  // start after it.
+  LogStart = std::max(LogStart, ListingRevision);
   HasListing = true;
   std::vector<StoreItem> ChangedItems;
   std::set<std::string> Keys;
@@ -58,9 +59,8 @@
     if (applyChange(Item))
       ChangedItems.push_back(Item);
   }
-  // An item that the listing lacks was removed before it, at an unknown
-  // revision; its removal gets ListingRevision. An item newer than the listing
-  // was added after it and stays.
+  // An item that the listing lacks was removed, at an unknown revision. An item
+  // newer than the listing was added after it and stays.
   for (auto It = Items.begin(); It != Items.end();) {
     if (Keys.count(It->first) || It->second.Revision > ListingRevision) {
       ++It;
@@ -68,7 +68,6 @@
     }
     StoreItem Removed{It->first, std::nullopt, ListingRevision};
     It = Items.erase(It);
-    appendToLog(Removed);
     ChangedItems.push_back(std::move(Removed));
   }
   advanceTo(ListingRevision);
--- a/store_cache/store_cache.h
+++ b/store_cache/store_cache.h
@@ -4,8 +4,14 @@
 //   StoreCache Cache;
 //   Cache.applyListing(Items, Revision);   // all items of the store
 //   Cache.applyChange(Item);               // one later change
+//   Cache.advanceTo(Revision);             // no change up to it is missing
 //   Cache.changesSince(Revision);          // the update for another host
 //
+// The pages of a listing are read one after another, so that it may hold items
+// that changed after its revision while others that changed before them are
+// missing. The revision of an item therefore says nothing about other items:
+// only the source of the changes knows up to which revision they are complete.
+//
 // The store assigns revisions: it counts all changes to all items. Revisions
 // from different hosts can therefore be compared.
 
@@ -46,9 +52,11 @@
 class StoreCache {
 public:
   /// Applies one change; false if it is not newer than the cached item.
+  /// revision() stays as it is.
   bool applyChange(const StoreItem &Item);
-  /// Applies a full listing of the store as of \p ListingRevision. Returns the
-  /// items that changed in this cache.
+  /// Applies a full listing of the store. All changes up to \p ListingRevision,
+  /// which is that of its first page, are included, and perhaps some later
+  /// ones. Returns the items that changed in this cache.
   std::vector<StoreItem> applyListing(const std::vector<StoreItem> &Listing,
                                       StoreRevision ListingRevision);
   /// Records that all changes up to \p To have been applied.
@@ -56,6 +64,7 @@
 
   /// Whether a full listing has been applied.
   bool hasListing() const { return HasListing; }
+  /// All changes up to this revision have been applied.
   StoreRevision revision() const { return Revision; }
   /// Changes after \p After; a full listing if the log does not reach back to
   /// that revision.
@@ -67,7 +76,8 @@
   bool HasListing = false;
   StoreRevision Revision;
   std::map<std::string, StoreItem> Items;
-  /// All applied changes after LogStart, in order of arrival.
+  /// All changes after LogStart up to Revision, and perhaps some later ones, in
+  /// order of arrival.
   std::deque<StoreItem> Log;
   size_t LogBytes = 0;
   StoreRevision LogStart;
--- a/store_cache/store_cache_relay_test.cpp
+++ b/store_cache/store_cache_relay_test.cpp
@@ -41,6 +41,7 @@
     Cache.applyListing({}, StoreRevision(5));
     for (size_t I = 0; I < ChangedServers; ++I)
       Cache.applyChange(serverItem(I));
+    Cache.advanceTo(serverItem(ChangedServers - 1).Revision);
     SourceHealth Source;
     Source.recordSuccess(Loop.now());
     StoreCacheRelay Relay(Loop, Cache, Source);
--- a/store_cache/store_cache_test.cpp
+++ b/store_cache/store_cache_test.cpp
@@ -38,6 +38,71 @@
   EXPECT_EQ(contents(Cache).count("c"), 1u);
 }
 
+/// A store whose listings are read in pages, with changes between them.
+class PagedStore {
+public:
+  StoreRevision revision() const { return Revision; }
+  void put(const std::string &Key) {
+    Revision = Revision.next();
+    Items[Key] = {Key, std::to_string(Revision.number()), Revision};
+    Events.push_back(Items[Key]);
+  }
+  void remove(const std::string &Key) {
+    if (Items.erase(Key) == 0)
+      return;
+    Revision = Revision.next();
+    Events.push_back({Key, std::nullopt, Revision});
+  }
+  /// Appends a page of items after the last key in \p Listing; false if there
+  /// are none.
+  bool readPage(std::vector<StoreItem> &Listing, size_t Limit) const {
+    auto It = Listing.empty() ? Items.begin()
+                              : Items.upper_bound(Listing.back().Key);
+    bool Found = It != Items.end();
+    for (; It != Items.end() && Limit > 0; ++It, --Limit)
+      Listing.push_back(It->second);
+    return Found;
+  }
+  std::vector<StoreItem> changesAfter(StoreRevision After) const {
+    std::vector<StoreItem> Out;
+    for (const StoreItem &Event : Events)
+      if (After < Event.Revision)
+        Out.push_back(Event);
+    return Out;
+  }
+  std::map<std::string, std::string> contents() const {
+    std::map<std::string, std::string> Out;
+    for (const auto &[Key, Item] : Items)
+      Out[Key] = *Item.Value;
+    return Out;
+  }
+
+private:
+  StoreRevision Revision;
+  std::map<std::string, StoreItem> Items;
+  std::vector<StoreItem> Events;
+};
+
+// Guards against a change that is lost because a later one, of another item, is
+// on a later page of the listing.
+TEST(StoreCache, ChangeBetweenThePagesOfAListingIsLost) {
+  PagedStore Store;
+  Store.put("a");
+  Store.put("b");
+  std::vector<StoreItem> Listing;
+  StoreRevision FirstPage = Store.revision();
+  Store.readPage(Listing, 1);
+  Store.put("a");
+  Store.put("b");
+  Store.readPage(Listing, 1);
+  StoreCache Cache;
+  Cache.applyListing(Listing, FirstPage);
+  EXPECT_EQ(Cache.revision(), FirstPage);
+  for (const StoreItem &Change : Store.changesAfter(Cache.revision()))
+    Cache.applyChange(Change);
+  EXPECT_EQ(contents(Cache), Store.contents());
+}
+
 /// Updates \p To with the changes from \p From, through the message.
 void follow(const StoreCache &From, StoreCache &To) {
   StoreCacheReply Sent = makeReply(From.changesSince(To.revision()));
@@ -75,8 +140,10 @@
     else
       Store[Key] = Change;
     bool ChangeMissed = *rc::gen::inRange(0, 10) == 0;
-    if (!ChangeMissed)
+    if (!ChangeMissed) {
       Leader.applyChange(Change);
+      Leader.advanceTo(StoreRevision(Revision));
+    }
     if (ChangeMissed || *rc::gen::inRange(0, 20) == 0) {
       std::vector<StoreItem> Listing;
       Listing.reserve(Store.size());
@@ -91,6 +158,49 @@
   }
 }
 
+// Guards against a change that a host misses, whatever happens between two pages
+// of a listing, whichever host it follows and whenever it asks.
+RC_GTEST_PROP(StoreCache, ListingsInPagesMissNoChange, ()) {
+  constexpr size_t Leaders = 2;
+  constexpr size_t Hosts = 4;
+  PagedStore Store;
+  StoreCache Caches[Hosts];
+  auto ChangeSome = [&](int Most) {
+    for (int N = *rc::gen::inRange(0, Most + 1); N > 0; --N) {
+      std::string Key(1, static_cast<char>('a' + *rc::gen::inRange(0, 8)));
+      if (*rc::gen::inRange(0, 3) == 0)
+        Store.remove(Key);
+      else
+        Store.put(Key);
+    }
+  };
+  ChangeSome(8);
+  for (int Step = 0; Step < 40; ++Step) {
+    StoreCache &Leader = Caches[*rc::gen::inRange<size_t>(0, Leaders)];
+    if (!Leader.hasListing() || *rc::gen::inRange(0, 4) == 0) {
+      std::vector<StoreItem> Listing;
+      StoreRevision FirstPage = Store.revision();
+      while (Store.readPage(Listing, 3))
+        ChangeSome(3);
+      Leader.applyListing(Listing, FirstPage);
+    } else {
+      ChangeSome(3);
+      for (const StoreItem &Change : Store.changesAfter(Leader.revision()))
+        Leader.applyChange(Change);
+      Leader.advanceTo(Store.revision());
+    }
+    size_t To = *rc::gen::inRange<size_t>(Leaders, Hosts);
+    StoreCache &From = Caches[*rc::gen::inRange<size_t>(0, To)];
+    if (From.hasListing())
+      follow(From, Caches[To]);
+    // A host may know later changes before earlier ones, but not miss any up to
+    // its revision.
+    for (const StoreCache &Cache : Caches)
+      if (Cache.hasListing() && Cache.revision() == Store.revision())
+        RC_ASSERT(contents(Cache) == Store.contents());
+  }
+}
+
 // Guards against a reply that makes its follower crash, allocate without bound
 // or apply other items than were sent.
 TEST(StoreCacheReply, CorruptCompressedItemsAreRejected) {
