Bound the bytes that wait to be parsed

Cause: limits applied to the parsed head and body. HttpChannel kept bytes that the parser had not consumed in a buffer without a limit, and the parser consumes nothing of a chunk header or trailer until it is complete. HttpServer and HttpConnection did the same, and nothing bounded the bodies of all callers together.

Without the change these tests fail: BackendConnectionPoolTest.HostileServersHarmNoCaller (two new kinds), Http.ChunkHeadersWithoutEndAreRefused, Http.ClientClosesResponsesWithoutEnd and Http.BodiesOfAllRequestsStayWithinTheirLimit.

Change: a limit on unparsed bytes in all three, and a budget for the bodies of all callers (an eighth of the memory). The stand-in of a hostile server moves to runtime/, whose tests use it now.

Result: these tests pass.

Why it works: each read adds at most 16 KiB, and is followed by the check.

--- a/entry/backend_connection_pool_test.cpp
+++ b/entry/backend_connection_pool_test.cpp
@@ -4,7 +4,7 @@
 // deadline, or pay for it with the host's memory and processor time.
 
 #include "entry/backend_connection_pool.h"
-#include "entry/hostile_server_test_util.h"
+#include "runtime/hostile_server_test_util.h"
 #include "runtime/child_process_test_util.h"
 
 #include <gtest/gtest.h>
@@ -202,6 +202,20 @@
                                 "\r\nTransfer-Encoding: chunked\r\n\r\n") &&
               writeWithoutEnd(E, "400\r\n" + std::string(1024, 'x') + "\r\n");
      }},
+    {"a chunk extension without end",
+     [](const HostileExchange &E) {
+       return writeBytes(E, "HTTP/1.1 200 OK\r\nAttempt-Id: " + E.Id +
+                                "\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                "4\r\nbody\r\n4;") &&
+              writeWithoutEnd(E, std::string(1024, 'x'));
+     }},
+    {"a trailer without end",
+     [](const HostileExchange &E) {
+       return writeBytes(E, "HTTP/1.1 200 OK\r\nAttempt-Id: " + E.Id +
+                                "\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                "4\r\nbody\r\n0\r\nX: ") &&
+              writeWithoutEnd(E, std::string(1024, 'x'));
+     }},
     {"a body without length and without end",
      [](const HostileExchange &E) {
        return writeBytes(E, "HTTP/1.1 200 OK\r\nAttempt-Id: " + E.Id +
--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -32,6 +32,8 @@
 /// Part of the memory for long answers that are being received. A string that
 /// grows holds up to three times its length for a moment.
 constexpr size_t AnswerMemoryDivisor = 16;
+/// Part of the memory for callers' bodies.
+constexpr size_t CallerBodyMemoryDivisor = 8;
 /// Connections stay open this much longer than the idle timeout in the
 /// configuration, so that requests sent right after a change of that timeout do
 /// not reach a closed connection.
@@ -67,6 +69,7 @@
   Out.MaxConnections = Options.MaxDescriptors > 2 * ReservedDescriptors
                            ? Options.MaxDescriptors - ReservedDescriptors
                            : Options.MaxDescriptors / 2;
+  Out.MaxBodyBytesTotal = Options.MemoryBytes / CallerBodyMemoryDivisor;
   return Out;
 }
 
--- a/entry/hostile_server_test_util.h
+++ b/runtime/hostile_server_test_util.h
@@ -2,8 +2,8 @@
 // serves each connection in a thread of its own with blocking sockets, until
 // the process ends.
 
-#ifndef MIMOSA_ENTRY_HOSTILE_SERVER_TEST_UTIL_H
-#define MIMOSA_ENTRY_HOSTILE_SERVER_TEST_UTIL_H
+#ifndef MIMOSA_RUNTIME_HOSTILE_SERVER_TEST_UTIL_H
+#define MIMOSA_RUNTIME_HOSTILE_SERVER_TEST_UTIL_H
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
@@ -124,4 +124,4 @@
 
 } // namespace mimosa
 
-#endif // MIMOSA_ENTRY_HOSTILE_SERVER_TEST_UTIL_H
+#endif // MIMOSA_RUNTIME_HOSTILE_SERVER_TEST_UTIL_H
--- a/runtime/http.h
+++ b/runtime/http.h
@@ -105,6 +105,9 @@
   size_t MaxBodyBytes = 1 << 20;
   size_t MaxHeaderBytes = 16 * 1024;
   size_t MaxConnections = 4096;
+  /// Limit on the bodies of all requests together that are being received or
+  /// handled; another one is refused with overloaded.
+  size_t MaxBodyBytesTotal = 256 << 20;
   /// A request that is incomplete this long after its first byte is refused
   /// with slow_sender.
   Duration RequestTimeout = Seconds(5);
@@ -123,6 +126,8 @@
   uint64_t Requests = 0;
   uint64_t BadRequests = 0;
   uint64_t SlowSenders = 0;
+  /// Requests refused because of HttpServerOptions::MaxBodyBytesTotal.
+  uint64_t RefusedBodies = 0;
 };
 
 class HttpServer {
--- a/runtime/http_channel.cpp
+++ b/runtime/http_channel.cpp
@@ -17,6 +17,9 @@
 namespace {
 
 constexpr size_t ReadBytes = 16 * 1024;
+/// Longest part of a response that is only parsed as a whole, such as a head,
+/// the header of a chunk or a trailer. The parser allows heads of 8 KiB.
+constexpr size_t MaxUnparsedBytes = 16 * 1024;
 /// Informational heads and responses to other requests that may precede the
 /// response. Servers send an informational head or two, and one late copy.
 constexpr uint32_t MaxUnexpectedResponses = 8;
@@ -198,7 +201,7 @@
   }
   if (Closed)
     return;
-  if (ParseFailure)
+  if (ParseFailure || (Busy && Buffer.size() > MaxUnparsedBytes))
     return closeWith(ChannelCloseReason::Malformed);
   if (Busy && EndOfStream && Parser->got_some() && !Parser->is_done()) {
     Parser->put_eof(ParseFailure);
--- a/runtime/http_channel.h
+++ b/runtime/http_channel.h
@@ -10,8 +10,9 @@
 // an exchange usually takes one write, one wait and one read.
 //
 // A server in trouble may send bytes without end. A channel is closed as
-// malformed after a bounded number of heads that do not begin the response, and
-// when a body exceeds the limit of its exchange or the receive budget.
+// malformed after a bounded number of heads that do not begin the response,
+// when a head, chunk header or trailer has no end, and when a body exceeds the
+// limit of its exchange or the receive budget.
 
 #ifndef MIMOSA_RUNTIME_HTTP_CHANNEL_H
 #define MIMOSA_RUNTIME_HTTP_CHANNEL_H
--- a/runtime/http_client.cpp
+++ b/runtime/http_client.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+/// Longest part of a response that is only parsed as a whole, such as a head,
+/// the header of a chunk or a trailer. A longer one fails the exchange.
+constexpr size_t MaxUnparsedBytes = 64 * 1024;
+
 Error ioError(const std::string &Address, const char *Step,
               error_code Failure) {
   ResultCode Code = Failure == beast::error::timeout ? ResultCode::Timeout
@@ -24,7 +28,7 @@
 struct HttpConnection::Impl {
   explicit Impl(asio::io_context &Io) : Stream(Io) {}
   beast::tcp_stream Stream;
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer{MaxUnparsedBytes};
   std::string Address;
   bool Open = false;
 };
--- a/runtime/http_server.cpp
+++ b/runtime/http_server.cpp
@@ -1,6 +1,7 @@
 #include "runtime/asio_fiber.h"
 #include "runtime/http.h"
 #include "runtime/log.h"
+#include "runtime/receive_budget.h"
 
 #include <array>
 #include <boost/beast/core.hpp>
@@ -20,6 +21,11 @@
 /// Limits on reading the rest of a refused request after its response.
 constexpr Duration DiscardTimeout = Milliseconds(500);
 constexpr size_t MaxDiscardedBytes = 16 << 20;
+/// Part of each body that does not count against the limit on all bodies. Most
+/// requests have no body, and thousands of connections may be open.
+constexpr size_t FreeBodyBytes = 4 * 1024;
+/// Seconds within which usual bodies have been received and forwarded.
+constexpr const char *BodiesRetryAfter = "1";
 
 std::string encodeResponse(const HttpResponse &Response, bool KeepAlive) {
   auto Reason =
@@ -49,12 +55,14 @@
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
   Impl(FiberLoop &Loop, HttpServerOptions Options, HttpHandler &Handler)
       : Loop(Loop), Options(std::move(Options)), Handler(Handler),
-        Acceptor(Loop.impl().Io) {}
+        Acceptor(Loop.impl().Io),
+        BodyBudget(this->Options.MaxBodyBytesTotal, FreeBodyBytes) {}
 
   FiberLoop &Loop;
   HttpServerOptions Options;
   HttpHandler &Handler;
   tcp::acceptor Acceptor;
+  ReceiveBudget BodyBudget;
   HttpServerCounters Counters;
   size_t InFlight = 0;
   bool Draining = false;
@@ -74,7 +82,8 @@
   HttpServerConnection(HttpServer::Impl &Server, tcp::socket Socket,
                        uint64_t Id)
       : Server(Server), Loop(Server.Loop), Socket(std::move(Socket)), Id(Id),
-        Options(Server.Options), Counters(Server.Counters) {}
+        Options(Server.Options), Counters(Server.Counters),
+        BodyShare(Server.BodyBudget) {}
 
   void close();
   void serve();
@@ -88,6 +97,7 @@
   bool parse(RequestParser &Parser, error_code &Failure);
   bool refuse(error_code Failure);
   bool refuseSlowSender();
+  bool refuseBody(RequestParser &Parser);
   void discardInput();
   /// Returns whether the connection can be used for another request.
   bool respond(const HttpResponse &Response, bool KeepAlive);
@@ -106,6 +116,8 @@
   beast::flat_buffer Buffer;
   const HttpServerOptions &Options;
   HttpServerCounters &Counters;
+  /// For the body of the request that is being received or handled.
+  ReceiveBudget::Share BodyShare;
   /// When the latest bytes were ready to be read.
   MonotonicTime ReadableAt;
   /// When the first byte of the request was ready to be read, which may be long
@@ -250,6 +262,26 @@
   return false;
 }
 
+bool HttpServerConnection::refuseBody(RequestParser &Parser) {
+  ++Counters.RefusedBodies;
+  logRequest("http", "event=body_refused connection=" + std::to_string(Id) +
+                         " bytes=" +
+                         std::to_string(Parser.get().body().size()) +
+                         " all_bytes=" +
+                         std::to_string(Server.BodyBudget.usedBytes()));
+  Parser.get().body() = std::string();
+  BodyShare.reset();
+  respond({503, "application/json",
+           errorBody({ResultCode::Overloaded,
+                      "the bodies of all requests together exceed " +
+                          std::to_string(Options.MaxBodyBytesTotal) +
+                          " bytes"}),
+           {{"Retry-After", BodiesRetryAfter}}},
+          false);
+  discardInput();
+  return false;
+}
+
 bool HttpServerConnection::refuse(error_code Failure) {
   HttpResponse Response;
   ++Counters.BadRequests;
@@ -313,8 +345,13 @@
     error_code Failure;
     if (Buffer.size() > 0 && parse(Parser, Failure))
       return true;
+    // Chunk headers and trailers are parsed as a whole, too.
+    if (!Failure && Buffer.size() > Options.MaxHeaderBytes)
+      Failure = http::error::header_limit;
     if (Failure)
       return refuse(Failure);
+    if (!BodyShare.resize(Parser.get().body().size()))
+      return refuseBody(Parser);
     if (Parser.is_header_done() && !ContinueSent &&
         Parser.get().find(http::field::expect) != Parser.get().end()) {
       ContinueSent = true;
@@ -363,6 +400,7 @@
     RequestParser Parser;
     if (!readRequest(Parser) || !handleRequest(Parser))
       break;
+    BodyShare.reset();
   }
   error_code Ignored;
   if (!Closed)
--- a/runtime/receive_budget.h
+++ b/runtime/receive_budget.h
@@ -14,10 +14,13 @@
 
 class ReceiveBudget {
 public:
-  /// Bytes of a body that need no budget.
-  static constexpr size_t Allowance = 64 * 1024;
+  /// The usual size of an answer.
+  static constexpr size_t DefaultAllowance = 64 * 1024;
 
-  explicit ReceiveBudget(size_t LimitBytes) : LimitBytes(LimitBytes) {}
+  /// The first \p AllowanceBytes of each body need no budget.
+  explicit ReceiveBudget(size_t LimitBytes,
+                         size_t AllowanceBytes = DefaultAllowance)
+      : LimitBytes(LimitBytes), AllowanceBytes(AllowanceBytes) {}
   ReceiveBudget(const ReceiveBudget &) = delete;
   ReceiveBudget &operator=(const ReceiveBudget &) = delete;
 
@@ -34,7 +37,9 @@
     /// Adjusts the share to a body of \p BodyBytes so far; false if the budget
     /// does not allow it.
     bool resize(size_t BodyBytes) {
-      size_t Needed = BodyBytes > Allowance ? BodyBytes - Allowance : 0;
+      size_t Needed = BodyBytes > Budget.AllowanceBytes
+                          ? BodyBytes - Budget.AllowanceBytes
+                          : 0;
       size_t Others = Budget.UsedBytes - Bytes;
       if (Needed > 0 && Others + Needed > Budget.LimitBytes)
         return false;
@@ -51,6 +56,7 @@
 
 private:
   size_t LimitBytes;
+  size_t AllowanceBytes;
   size_t UsedBytes = 0;
 };
 
--- a/runtime/runtime_test.cpp
+++ b/runtime/runtime_test.cpp
@@ -1,6 +1,7 @@
 #include "base/message_codec.h"
 #include "runtime/child_process_test_util.h"
 #include "runtime/fiber_loop.h"
+#include "runtime/hostile_server_test_util.h"
 #include "runtime/http.h"
 #include "runtime/metrics.h"
 #include "runtime/peer.h"
@@ -214,6 +215,110 @@
   });
 }
 
+/// Sends \p Bytes to the server of this thread, as far as it reads them.
+void sendPatiently(int Socket, const std::string &Bytes) {
+  size_t Sent = 0;
+  for (int Tries = 0; Sent < Bytes.size() && Tries < 200;) {
+    ssize_t Count = send(Socket, Bytes.data() + Sent, Bytes.size() - Sent,
+                         MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (Count > 0) {
+      Sent += static_cast<size_t>(Count);
+      continue;
+    }
+    ++Tries;
+    FiberLoop::sleepFor(Milliseconds(1));
+  }
+}
+
+/// The status of the response that has arrived; 0 if there is none.
+int receivedStatus(int Socket) {
+  char Bytes[256] = {};
+  ssize_t Count = recv(Socket, Bytes, sizeof(Bytes) - 1, MSG_DONTWAIT);
+  constexpr size_t StatusOffset = 9;
+  return Count > 0 ? std::atoi(Bytes + StatusOffset) : 0;
+}
+
+// Guards against a caller that fills the memory of a host with the extension of
+// a chunk, or with a trailer, that has no end.
+TEST(Http, ChunkHeadersWithoutEndAreRefused) {
+  for (const char *Begin : {"4;", "0\r\nX: "})
+    runInChildProcess([Begin](FiberLoop &Loop) {
+      EchoHandler Handler(Loop);
+      HttpServer Server(Loop, testOptions(), Handler);
+      ASSERT_TRUE(ok(Server.start()));
+      int Client = connectTo(HttpAddress);
+      sendPatiently(Client, std::string("POST /q HTTP/1.1\r\nHost: h\r\n"
+                                        "Transfer-Encoding: chunked\r\n\r\n") +
+                                Begin + std::string(64 * 1024, 'x'));
+      FiberLoop::sleepFor(Milliseconds(20));
+      EXPECT_EQ(receivedStatus(Client), 431);
+      close(Client);
+    });
+}
+
+// Guards against callers whose bodies, each within its limit, fill the memory
+// of a host together.
+TEST(Http, BodiesOfAllRequestsStayWithinTheirLimit) {
+  runInChildProcess([](FiberLoop &Loop) {
+    constexpr size_t BodyBytes = 400 * 1024;
+    constexpr int Clients = 8;
+    EchoHandler Handler(Loop);
+    HttpServerOptions Options = testOptions();
+    Options.MaxBodyBytes = 1 << 20;
+    Options.MaxBodyBytesTotal = 1 << 20;
+    Options.RequestTimeout = Seconds(5);
+    HttpServer Server(Loop, Options, Handler);
+    ASSERT_TRUE(ok(Server.start()));
+    std::vector<int> Sockets;
+    for (int I = 0; I < Clients; ++I) {
+      Sockets.push_back(connectTo(HttpAddress));
+      sendPatiently(Sockets.back(), "POST /q HTTP/1.1\r\nHost: h\r\n"
+                                    "Content-Length: " +
+                                        std::to_string(BodyBytes) + "\r\n\r\n" +
+                                        std::string(BodyBytes - 1, 'x'));
+    }
+    FiberLoop::sleepFor(Milliseconds(50));
+    int Refused = 0;
+    int Answered = 0;
+    for (int Socket : Sockets) {
+      Refused += receivedStatus(Socket) == 503 ? 1 : 0;
+      sendPatiently(Socket, "x");
+    }
+    FiberLoop::sleepFor(Milliseconds(50));
+    for (int Socket : Sockets) {
+      Answered += receivedStatus(Socket) == 200 ? 1 : 0;
+      close(Socket);
+    }
+    EXPECT_EQ(Refused, Clients - 2);
+    EXPECT_EQ(Answered, 2);
+    EXPECT_EQ(Server.counters().RefusedBodies, 6u);
+  });
+}
+
+// Guards against a server that fills the memory of its client with a chunk
+// header, or with a trailer, that has no end.
+TEST(Http, ClientClosesResponsesWithoutEnd) {
+  for (const char *Begin : {"4;", "0\r\nX: "})
+    runInChildProcess([Begin](FiberLoop &Loop) {
+      HostileServer Server([Begin](const HostileExchange &E) {
+        return writeBytes(E, std::string("HTTP/1.1 200 OK\r\n"
+                                         "Transfer-Encoding: chunked\r\n\r\n"
+                                         "4\r\nbody\r\n") +
+                                 Begin) &&
+               writeWithoutEnd(E, std::string(1024, 'x'));
+      });
+      auto Opened = HttpConnection::open(Loop, Server.address(), Seconds(1));
+      ASSERT_TRUE(ok(Opened));
+      HttpRequest Request;
+      Request.Target = "/q";
+      Result<HttpResponse> Outcome =
+          valueOf(Opened)->exchange(Request, Seconds(2));
+      ASSERT_FALSE(ok(Outcome));
+      EXPECT_EQ(errorOf(Outcome).Code, ResultCode::BackendLost);
+      EXPECT_FALSE(valueOf(Opened)->isOpen());
+    });
+}
+
 class EchoPeer : public PeerHandler {
 public:
   bool handleFrame(const PeerFrame &Frame, PeerReplier Reply) override {
