Check the size, depth and range of what others write

Cause: error messages contained the field of a wrong type by Json::dump(), which calls itself for each level, on the 128 KiB stack of a fiber. Values were checked for their types, but not for depth, size or range.

Why it works: every reader gets JSON from parseJson(), and no later code visits a value that is deeper than 64 levels.

--- a/base/base_test.cpp
+++ b/base/base_test.cpp
@@ -17,6 +17,36 @@
     RC_ASSERT(errorOf(Parsed).Code == ResultCode::BadJson);
 }
 
+// Guards against a nested value that overflows the stack of a fiber when it is
+// described, compared or copied.
+TEST(Json, DeeplyNestedValuesAreRejected) {
+  auto Nested = [](size_t Levels) {
+    return R"({"text":"[{[{\"[","n":)" + std::string(Levels - 1, '[') +
+           std::string(Levels - 1, ']') + "}";
+  };
+  EXPECT_TRUE(ok(parseJson(Nested(MaxJsonDepth))));
+  EXPECT_FALSE(ok(parseJson(Nested(MaxJsonDepth + 1))));
+  EXPECT_FALSE(ok(parseJson(Nested(100000))));
+  EXPECT_FALSE(ok(parseJson(std::string(1000000, '['))));
+  std::string Siblings = "[[]";
+  for (size_t I = 0; I < 2 * MaxJsonDepth; ++I)
+    Siblings += ",[{}]";
+  EXPECT_TRUE(ok(parseJson(Siblings + "]")));
+}
+
+// Guards against an error message as long as the field that it describes.
+TEST(JsonFields, ErrorsRepeatLittleOfTheField) {
+  for (const Json &Value :
+       {Json(std::string(100000, 'x')), Json::array({1, 2, 3}),
+        Json{{"a", std::string(100000, 'x')}}}) {
+    Json Object = {{"n", Value}};
+    JsonFields Fields(Object, "case");
+    Fields.number("n", 1, 10);
+    ASSERT_TRUE(Fields.failed());
+    EXPECT_LT(Fields.error().Message.size(), 200u);
+  }
+}
+
 struct NumberCase {
   const char *Text;
   bool Fails;
--- a/base/json_fields.cpp
+++ b/base/json_fields.cpp
@@ -5,9 +5,49 @@
 namespace {
 const Json EmptyArray = Json::array();
 const Json EmptyObject = Json::object();
+
+/// Limit on what an error message repeats of a field.
+constexpr size_t MaxDescribedBytes = 60;
+
+bool nestedTooDeeply(std::string_view Text) {
+  size_t Depth = 0;
+  bool InString = false;
+  for (size_t I = 0; I < Text.size(); ++I) {
+    char C = Text[I];
+    if (InString) {
+      if (C == '\\')
+        ++I;
+      else
+        InString = C != '"';
+    } else if (C == '"') {
+      InString = true;
+    } else if (C == '[' || C == '{') {
+      if (++Depth > MaxJsonDepth)
+        return true;
+    } else if ((C == ']' || C == '}') && Depth > 0) {
+      --Depth;
+    }
+  }
+  return false;
+}
+
+/// A value for an error message, which others may have written.
+std::string describe(const Json &Value) {
+  if (Value.is_structured())
+    return std::string("an ") + Value.type_name();
+  std::string Text =
+      Value.dump(-1, ' ', /*ensure_ascii=*/true, Json::error_handler_t::replace);
+  if (Text.size() <= MaxDescribedBytes)
+    return Text;
+  return Text.substr(0, MaxDescribedBytes) + "...";
+}
 } // namespace
 
 Result<Json> parseJson(std::string_view Text) {
+  if (nestedTooDeeply(Text))
+    return Error{ResultCode::BadJson, "the body is nested more than " +
+                                          std::to_string(MaxJsonDepth) +
+                                          " levels deep"};
   Json Parsed = Json::parse(Text, nullptr, /*allow_exceptions=*/false);
   if (Parsed.is_discarded())
     return Error{ResultCode::BadJson, "the body is not valid JSON"};
@@ -41,7 +81,7 @@
   if (!Field->is_string() || Field->get_ref<const std::string &>().empty()) {
     fail(ResultCode::BadField, Path + "." + Name +
                                    " must be a non-empty string, not " +
-                                   Field->dump());
+                                   describe(*Field));
     return {};
   }
   return Field->get<std::string>();
@@ -53,7 +93,7 @@
     return Fallback;
   if (!Field->is_string()) {
     fail(ResultCode::BadField,
-         Path + "." + Name + " must be a string, not " + Field->dump());
+         Path + "." + Name + " must be a string, not " + describe(*Field));
     return Fallback;
   }
   return Field->get<std::string>();
@@ -83,7 +123,7 @@
   fail(ResultCode::BadField,
        Path + "." + Name + " must be a whole number from " +
            std::to_string(Lowest) + " to " + std::to_string(Highest) +
-           ", not " + Field->dump());
+           ", not " + describe(*Field));
   return Fallback;
 }
 
@@ -99,7 +139,7 @@
   }
   fail(ResultCode::BadField,
        Path + "." + Name + " must be a number from " + Json(Lowest).dump() +
-           " to " + Json(Highest).dump() + ", not " + Field->dump());
+           " to " + Json(Highest).dump() + ", not " + describe(*Field));
   return Fallback;
 }
 
@@ -109,7 +149,7 @@
     return Fallback;
   if (!Field->is_boolean()) {
     fail(ResultCode::BadField,
-         Path + "." + Name + " must be true or false, not " + Field->dump());
+         Path + "." + Name + " must be true or false, not " + describe(*Field));
     return Fallback;
   }
   return Field->get<bool>();
--- a/base/json_fields.h
+++ b/base/json_fields.h
@@ -23,7 +23,12 @@
 
 using Json = nlohmann::json;
 
-/// Parses \p Text; fails with BadJson if it is not valid JSON.
+/// Deepest nesting of arrays and objects that is accepted. Code that visits a
+/// value calls itself for each level, on the small stack of a fiber.
+constexpr size_t MaxJsonDepth = 64;
+
+/// Parses \p Text; fails with BadJson if it is not valid JSON, or is nested
+/// more than MaxJsonDepth levels deep.
 Result<Json> parseJson(std::string_view Text);
 
 /// Reads the fields of one JSON object, which must outlive this.
--- a/runtime/asio_fiber.cpp
+++ b/runtime/asio_fiber.cpp
@@ -1,5 +1,7 @@
 #include "runtime/asio_fiber.h"
 
+#include "runtime/endpoint.h"
+
 #include <charconv>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -72,6 +74,12 @@
   return tcp::endpoint(Ip, Port);
 }
 
+bool isConnectableAddress(std::string_view Address) {
+  Result<tcp::endpoint> Endpoint = parseEndpoint(Address);
+  return ok(Endpoint) && valueOf(Endpoint).port() != 0 &&
+         !valueOf(Endpoint).address().is_unspecified();
+}
+
 void setConnectionOptions(tcp::socket &Connection) {
   error_code Ignored;
   Connection.set_option(tcp::no_delay(true), Ignored);
--- a/tools/entry_test.py
+++ b/tools/entry_test.py
@@ -111,6 +111,33 @@
             self.assertLess(time.monotonic(), end, f"condition not met within {limit_s} s")
             time.sleep(0.05)
 
+    def test_odd_entries_of_another_writer_end_the_host_or_hide_changes(self) -> None:
+        # An unreadable entry ended all hosts at each start (review case 4).
+        nested = b"[" * 100_000 + b"]" * 100_000
+        valid = json.dumps(self.other.entry()).encode()
+        odd = [nested, b'{"service":' + nested + b"}", b"\xff{", b"", b"1e400", b"{}",
+               b"x" * 900_000, valid.replace(b'"sequence": 1', b'"sequence": 1e300'),
+               valid.replace(self.other.address.encode(), b"127.0.0.1:65536"),
+               valid.replace(self.other.address.encode(), b"127.0.0.1:99999999999999999999"),
+               valid.replace(b'"z1"', b'"z\\r\\n1"')]
+        for restarted in (False, True):
+            for number, value in enumerate(odd):
+                for prefix in ("servers/i-odd-", "servers/odd key\r\n", "mimosa/hosts/odd-",
+                               "op/evacuate/odd-", "elsewhere/"):
+                    self.store.put(f"{prefix}{number}", value)
+            if restarted:
+                self.entry.stop()
+                self.entry = EntryProcess("h1", self.store.address, self.ports)
+                self.addCleanup(self.entry.stop)
+                self.entry.wait_ready()
+            self.configure(more_routes=[
+                {"name": f"r-new-{restarted}", "host": "h.example", "prefix": f"/new{restarted}/",
+                 "kind": "safe", "timeoutMs": 800, "targetLatencyMs": 150, "priority": 1,
+                 "maxAttempts": 2, "service": "other"}])
+            time.sleep(CONFIG_ACTIVE_LIMIT_S)
+            self.assertIsNone(self.entry.process.poll(), "mimosa-entry ended")
+            self.assertEqual(self.send_request(f"/new{restarted}/1")[0], 200)
+
     def test_gather_merges_all_shards(self) -> None:
         # Guards against missing shard results and results of another request.
         for _ in range(20):
