Let the time for missing entries run from the end of the outage

Cause: entries that went missing within 2.5 s of a failed call counted as removed 2 s after they were found missing, though running servers write them again within 2 s of the end of the outage. The removal then waited for the call in progress.

Short failures do not extend the time, a later outage does.

Why it works: from the first answer after a failure it takes 2 s and at most one call until the removal, whatever happens to other calls meanwhile.

--- a/store_cache/messages.h
+++ b/store_cache/messages.h
@@ -45,9 +45,9 @@
   /// Items is a full listing of the store, see StoreChanges.
   bool FullListing = false;
   StoreRevision Revision;
-  /// Time since the sender's last failed call to the store; negative if none
-  /// has failed.
-  Duration SinceFailure{-1};
+  /// Time since the sender's source recovered from its last failure, 0 while it
+  /// fails; negative if it has never failed.
+  Duration SinceRecovery{-1};
   std::vector<StoreItemMessage> Items;
   /// Items in MessagePack, compressed by zlib; empty if they are in Items.
   std::string CompressedItems;
@@ -55,7 +55,7 @@
   uint64_t ItemBytes = 0;
   MSGPACK_DEFINE_MAP(Fresh, MSGPACK_NVP("Listed", HasListing), Age,
                      MSGPACK_NVP("Whole", FullListing),
-                     MSGPACK_NVP("Upto", Revision), SinceFailure, Items,
+                     MSGPACK_NVP("Upto", Revision), SinceRecovery, Items,
                      CompressedItems, ItemBytes);
 };
 
--- a/store_cache/source_health.h
+++ b/store_cache/source_health.h
@@ -3,6 +3,7 @@
 // next watch of the store may wait.
 //
 //   SourceHealth Source;
+//   Source.recordAnswer(Now);           // before its changes are applied
 //   Source.recordSuccess(UpToDateAt);   // after each call to the source
 //   Source.recordFailure(Now);
 //   Source.fresh(Now);
@@ -48,14 +49,25 @@
     Wait = std::min<Duration>(LongestWait, Wait * 2);
   }
   void recordFailure(MonotonicTime Now) {
-    LastFailure = Now;
+    HasFailed = true;
+    RecoveredAt.reset();
     if (!FailingSince)
       FailingSince = Now;
     shortenWatches();
   }
-  /// Records that the leader's last failed call to the store was at \p At.
-  void recordReportedFailure(MonotonicTime At) {
-    LastFailure = std::max(LastFailure.value_or(At), At);
+  /// Records that the source has answered a call. The time of the first answer
+  /// after a failure is recoveredAt().
+  void recordAnswer(MonotonicTime Now) {
+    if (!HasFailed || RecoveredAt)
+      return;
+    RecoveredAt = Now;
+    if (FailingSince && Now - *FailingSince >= FailureGrace)
+      OutageEndedAt = Now;
+  }
+  /// Records that the leader's source recovered at \p At.
+  void recordReportedRecovery(MonotonicTime At) {
+    HasFailed = true;
+    RecoveredAt = std::max(RecoveredAt.value_or(At), At);
   }
   /// Makes the next watches wait briefly, since they may miss changes.
   void shortenWatches() { Wait = ShortestWait; }
@@ -69,15 +81,23 @@
   Duration age(MonotonicTime Now) const {
     return UpToDateAt ? Now - *UpToDateAt : Duration(0);
   }
+  /// When the cache was last known to be up to date; empty if it never was.
+  std::optional<MonotonicTime> upToDateAt() const { return UpToDateAt; }
   /// How long the next watch of the store may wait.
   Duration watchWait() const { return Wait; }
-  /// The last failed call, of this host or as reported by its leader.
-  std::optional<MonotonicTime> lastFailure() const { return LastFailure; }
+  /// When the source recovered from its last failure, as seen by this host or
+  /// its leader; empty if it has not failed, or still fails.
+  std::optional<MonotonicTime> recoveredAt() const { return RecoveredAt; }
+  /// When the last failure ended that was longer than FailureGrace.
+  std::optional<MonotonicTime> outageEndedAt() const { return OutageEndedAt; }
+  bool hasFailed() const { return HasFailed; }
 
 private:
   std::optional<MonotonicTime> UpToDateAt;
   std::optional<MonotonicTime> FailingSince;
-  std::optional<MonotonicTime> LastFailure;
+  std::optional<MonotonicTime> RecoveredAt;
+  std::optional<MonotonicTime> OutageEndedAt;
+  bool HasFailed = false;
   Duration Wait = LongestWait;
 };
 
--- a/store_cache/store_cache_relay.cpp
+++ b/store_cache/store_cache_relay.cpp
@@ -80,8 +80,8 @@
   Out.HasListing = Cache.hasListing();
   Out.Fresh = fresh();
   Out.Age = Source.age(Loop.now());
-  if (Source.lastFailure())
-    Out.SinceFailure = Loop.now() - *Source.lastFailure();
+  if (Source.hasFailed())
+    Out.SinceRecovery = Loop.now() - Source.recoveredAt().value_or(Loop.now());
   return Out;
 }
 
--- a/tools/entry_test.py
+++ b/tools/entry_test.py
@@ -111,6 +111,26 @@
             self.assertLess(time.monotonic(), end, f"condition not met within {limit_s} s")
             time.sleep(0.05)
 
+    def test_removed_searcher_gets_requests_after_an_outage(self) -> None:
+        # It got some for up to 4 s, if the host had been cut off from the store before (review
+        # case 5). The second host follows the first one.
+        second = self.start_second()
+        leaver = self.accounts[0]
+        for gap_s in (0.2, 1.7):
+            time.sleep(RECOVERY_S)
+            self.store.down = True
+            time.sleep(4.0)
+            self.store.down = False
+            time.sleep(gap_s)
+            self.store.remove(f"servers/{leaver.name}")
+            removed = time.monotonic()
+            while time.monotonic() < removed + DRAIN_LIMIT_S + 1.0:
+                for entry in (self.entry, second):
+                    self.assertEqual(self.send_request("/one/1", entry=entry)[0], 200)
+            self.assertLess(leaver.last_arrival, removed + DRAIN_LIMIT_S,
+                            f"removed {gap_s} s after the outage")
+            self.register(leaver)
+
     def test_odd_entries_of_another_writer_end_the_host_or_hide_changes(self) -> None:
         # An unreadable entry ended all hosts at each start (review case 4).
         nested = b"[" * 100_000 + b"]" * 100_000
