Answer half-read and pipelined requests when a server stops

What callers saw: of three requests sent at once to a stopping host, one was answered and the others were closed; a request whose body was still arriving at the end of the process got no answer.

Cause: connections closed after one response although the next request had been read, and HttpServer had no way to end connections without a complete request.

Change: requests that have been read are served before the connection closes; unread bytes are read before a close, which would reset the connection; refuseIncompleteRequests() closes idle connections and refuses half-read requests with 503.

Why it works: after it, a connection is either closed, or runs a request.

--- a/runtime/http.h
+++ b/runtime/http.h
@@ -149,6 +149,10 @@
   /// From now on closes each connection after one response, with the header
   /// "Connection: close"; new connections are still accepted.
   void closeAfterResponses();
+  /// From now on closes each connection as soon as it has no complete request:
+  /// at once if it is idle, and after a refusal with shutting_down if it is
+  /// receiving one. New connections are accepted and treated alike.
+  void refuseIncompleteRequests();
   /// Number of requests whose response has not been written.
   size_t inFlight() const;
   const HttpServerCounters &counters() const;
--- a/runtime/http_server.cpp
+++ b/runtime/http_server.cpp
@@ -26,6 +26,8 @@
 constexpr size_t FreeBodyBytes = 4 * 1024;
 /// Seconds within which usual bodies have been received and forwarded.
 constexpr const char *BodiesRetryAfter = "1";
+/// In seconds. Callers of a host that shuts down can turn to other hosts.
+constexpr const char *ShutdownRetryAfter = "0.02";
 
 std::string encodeResponse(const HttpResponse &Response, bool KeepAlive) {
   auto Reason =
@@ -67,6 +69,7 @@
   size_t InFlight = 0;
   bool Draining = false;
   bool CloseAfterResponses = false;
+  bool RefuseIncomplete = false;
   std::set<HttpServerConnection *> Connections;
 
   void acceptLoop();
@@ -87,10 +90,13 @@
 
   void close();
   void serve();
+  /// Lets a wait for bytes look at the state of the server again.
+  void wakeUp() { ReadEvent.set(); }
 
 private:
   using RequestParser = http::request_parser<http::string_body>;
-  enum class ReadResult { Bytes, Closed, TimedOut };
+  /// ShuttingDown: nothing more is read, see refuseIncompleteRequests().
+  enum class ReadResult { Bytes, Closed, TimedOut, ShuttingDown };
 
   bool awaitFirstByte();
   bool readRequest(RequestParser &Parser);
@@ -98,6 +104,7 @@
   bool refuse(error_code Failure);
   bool refuseSlowSender();
   bool refuseBody(RequestParser &Parser);
+  bool refuseIncomplete();
   void discardInput();
   /// Returns whether the connection can be used for another request.
   bool respond(const HttpResponse &Response, bool KeepAlive);
@@ -182,6 +189,9 @@
 HttpServerConnection::readMore(MonotonicTime Deadline) {
   while (!Closed) {
     startReadWait();
+    error_code Ignored;
+    if (!Readable && Server.RefuseIncomplete && Socket.available(Ignored) == 0)
+      return ReadResult::ShuttingDown;
     if (!Readable && !ReadEvent.waitUntil(Deadline))
       return ReadResult::TimedOut;
     ReadEvent.clear();
@@ -282,6 +292,15 @@
   return false;
 }
 
+bool HttpServerConnection::refuseIncomplete() {
+  respond({503, "application/json",
+           errorBody({ResultCode::ShuttingDown,
+                      "the host stops before the request is complete"}),
+           {{"Retry-After", ShutdownRetryAfter}}},
+          false);
+  return false;
+}
+
 bool HttpServerConnection::refuse(error_code Failure) {
   HttpResponse Response;
   ++Counters.BadRequests;
@@ -361,6 +380,8 @@
     ReadResult Outcome = readMore(Deadline);
     if (Outcome == ReadResult::TimedOut)
       return refuseSlowSender();
+    if (Outcome == ReadResult::ShuttingDown)
+      return refuseIncomplete();
     if (Outcome == ReadResult::Closed)
       return refuse(http::error::partial_message);
   }
@@ -386,11 +407,19 @@
   startReadWait();
   HttpResponse Response = Server.Handler.handle(Request, LatestCaller);
   HandlerRunning = false;
+  // A pipelined request that has been read is served, too.
+  bool ServerCloses = Server.Draining ||
+                      (Server.CloseAfterResponses && Buffer.size() == 0);
   bool KeepAlive =
       Response.Status != 0 &&
-      respond(Response, Message.keep_alive() && !Response.Close &&
-                            !Server.Draining && !Server.CloseAfterResponses);
+      respond(Response,
+              Message.keep_alive() && !Response.Close && !ServerCloses);
   --Server.InFlight;
+  // Bytes that arrived meanwhile would reset the connection.
+  error_code Ignored;
+  if (Response.Status != 0 && !KeepAlive && !Closed &&
+      (Buffer.size() > 0 || Socket.available(Ignored) > 0))
+    discardInput();
   return KeepAlive;
 }
 
@@ -477,6 +506,12 @@
 
 void HttpServer::closeAfterResponses() { State->CloseAfterResponses = true; }
 
+void HttpServer::refuseIncompleteRequests() {
+  State->RefuseIncomplete = true;
+  for (HttpServerConnection *Connection : State->Connections)
+    Connection->wakeUp();
+}
+
 size_t HttpServer::inFlight() const { return State->InFlight; }
 
 const HttpServerCounters &HttpServer::counters() const {
--- a/runtime/runtime_test.cpp
+++ b/runtime/runtime_test.cpp
@@ -295,6 +295,58 @@
   });
 }
 
+// Guards against a request that has been read, behind another one, and is lost
+// when the server closes its connections after their responses.
+TEST(Http, PipelinedRequestsAreLostWhenConnectionsClose) {
+  runInChildProcess([](FiberLoop &Loop) {
+    EchoHandler Handler(Loop);
+    HttpServer Server(Loop, testOptions(), Handler);
+    ASSERT_TRUE(ok(Server.start()));
+    Server.closeAfterResponses();
+    int Client = connectTo(HttpAddress);
+    const std::string Request = "GET /q HTTP/1.1\r\nHost: h\r\n\r\n";
+    sendPatiently(Client, Request + Request + Request);
+    FiberLoop::sleepFor(Milliseconds(50));
+    char Bytes[4096] = {};
+    ssize_t Count = recv(Client, Bytes, sizeof(Bytes), MSG_DONTWAIT);
+    ASSERT_GT(Count, 0);
+    std::string Received(Bytes, static_cast<size_t>(Count));
+    size_t Responses = 0;
+    for (size_t At = 0; (At = Received.find("HTTP/1.1 200", At)) !=
+                        std::string::npos;
+         ++At)
+      ++Responses;
+    EXPECT_EQ(Responses, 3u);
+    EXPECT_EQ(recv(Client, Bytes, sizeof(Bytes), MSG_DONTWAIT), 0);
+    close(Client);
+  });
+}
+
+// Guards against connections that a stopping server cuts while it receives a
+// request.
+TEST(Http, IncompleteRequestIsCutWhenTheServerStops) {
+  runInChildProcess([](FiberLoop &Loop) {
+    EchoHandler Handler(Loop);
+    HttpServerOptions Options = testOptions();
+    Options.RequestTimeout = Seconds(5);
+    HttpServer Server(Loop, Options, Handler);
+    ASSERT_TRUE(ok(Server.start()));
+    int Idle = connectTo(HttpAddress);
+    int Receiving = connectTo(HttpAddress);
+    sendPatiently(Receiving, "POST /q HTTP/1.1\r\nHost: h\r\n"
+                             "Content-Length: 9\r\n\r\nhalf");
+    FiberLoop::sleepFor(Milliseconds(20));
+    Server.refuseIncompleteRequests();
+    FiberLoop::sleepFor(Milliseconds(20));
+    EXPECT_EQ(receivedStatus(Receiving), 503);
+    char Byte = 0;
+    EXPECT_EQ(recv(Idle, &Byte, 1, MSG_DONTWAIT), 0);
+    EXPECT_EQ(Server.counters().OpenConnections, 0u);
+    close(Idle);
+    close(Receiving);
+  });
+}
+
 // Guards against a server that fills the memory of its client with a chunk
 // header, or with a trailer, that has no end.
 TEST(Http, ClientClosesResponsesWithoutEnd) {
