Answer every request before a stopping host ends

Cause: EntryNode::stop() ended the process after 0.93 of the grace time whatever was running. The queue, the retries and the queries did not know of that time.

Change: the end of the host is a deadline of all calls. A call is sent only if its answer can be expected before; others end at once as not run, which callers learn by 503, and those still running at the end as unknown. Then connections close and the process ends.

Three new tests of CallScheduler pass.

Why it works: every request that has been read is a call, is refused, or is incomplete, and each of these ends before the process does.

--- a/balance/call.cpp
+++ b/balance/call.cpp
@@ -18,6 +18,8 @@
     return "lost";
   case CallReason::Shed:
     return "shed";
+  case CallReason::Stopping:
+    return "stopping";
   }
   return "unknown";
 }
--- a/balance/call.h
+++ b/balance/call.h
@@ -54,7 +54,9 @@
   HeldBack,
   Deadline,
   Lost,
-  Shed
+  Shed,
+  /// The host stops before an answer has arrived, or could be expected.
+  Stopping
 };
 const char *callReasonName(CallReason Reason);
 
--- a/balance/call_queue.cpp
+++ b/balance/call_queue.cpp
@@ -14,6 +14,9 @@
 /// Lower bound of the capacity in wouldFinishTooLate(): one backend server that
 /// is ten times slower than usual.
 constexpr double MinCapacity = 0.1;
+/// Target latencies within which nearly all requests are answered, even by a
+/// slow backend server.
+constexpr int SlowAnswerFactor = 4;
 
 } // namespace
 
@@ -87,16 +90,55 @@
   return (Rounds + 1) * Median > inSeconds(Request.UsefulUntil - Now);
 }
 
+bool CallScheduler::heldBackTooLong(const CallState &Call, MonotonicTime Now) {
+  const CallRequest &Request = Call.Request;
+  MonotonicTime SendAt =
+      expectedSendAt(Request.Service, Request.Priority, Call.TriedServers, Now);
+  return SendAt > Now && SendAt > latestSendTime(Request);
+}
+
+void CallScheduler::limitTimes(CallRequest &Request) const {
+  Request.Deadline = std::min(Request.Deadline, EndCallsBy);
+  Request.UsefulUntil = std::min(Request.UsefulUntil, EndCallsBy);
+}
+
 MonotonicTime CallScheduler::latestSendTime(const CallRequest &Request) {
-  return Request.UsefulUntil - typicalLatency(Request);
+  MonotonicTime Latest = Request.UsefulUntil - typicalLatency(Request);
+  // A request that ends by its own deadline before is not broken off.
+  if (Request.Deadline < EndCallsBy)
+    return Latest;
+  int Factor = Request.Idempotent ? 1 : SlowAnswerFactor;
+  return std::min<MonotonicTime>(Latest,
+                                 EndCallsBy - Request.TargetLatency * Factor);
+}
+
+bool CallScheduler::tooLateToSend(const CallRequest &Request,
+                                  MonotonicTime Now) {
+  return Request.Deadline >= EndCallsBy && Now > latestSendTime(Request);
+}
+
+size_t CallScheduler::endCallsBy(MonotonicTime End, MonotonicTime Now) {
+  EndCallsBy = End;
+  std::vector<CallId> Hopeless;
+  for (auto &[Id, Call] : Calls) {
+    limitTimes(Call.Request);
+    MonotonicTime Latest =
+        Call.Waiting ? latestSendTime(Call.Request) : Call.Request.Deadline;
+    setWakeUp(Id, Call, std::min(Call.WakeUpAt, Latest));
+    if (Call.Waiting && (Latest <= Now || heldBackTooLong(Call, Now)))
+      Hopeless.push_back(Id);
+  }
+  for (CallId Id : Hopeless) {
+    ++Counters.StoppedCalls;
+    endWithoutSuccess(Calls.find(Id), CallReason::Stopping, Now);
+  }
+  return Hopeless.size();
 }
 
 void CallScheduler::enqueue(CallMap::iterator It, MonotonicTime Now) {
   CallState &Call = It->second;
   const CallRequest &Request = Call.Request;
-  MonotonicTime SendAt =
-      expectedSendAt(Request.Service, Request.Priority, Call.TriedServers, Now);
-  if (SendAt > Now && SendAt > latestSendTime(Request)) {
+  if (heldBackTooLong(Call, Now)) {
     ++Counters.HeldBackCalls;
     return endWithoutSuccess(It, CallReason::HeldBack, Now);
   }
--- a/balance/call_scheduler.cpp
+++ b/balance/call_scheduler.cpp
@@ -67,6 +67,7 @@
   queue(Request.Service).Budget.recordRequest(Now);
   CallState New;
   New.Request = std::move(Request);
+  limitTimes(New.Request);
   New.Observer = &Observer;
   New.StartedAt = Now;
   auto It = Calls.emplace(Id, std::move(New)).first;
@@ -85,6 +86,10 @@
 
 void CallScheduler::sendFirst(CallMap::iterator It, MonotonicTime Now) {
   const CallRequest &Request = It->second.Request;
+  if (tooLateToSend(Request, Now)) {
+    ++Counters.StoppedCalls;
+    return finish(It, CallOutcome::NotRun, CallReason::Stopping, {}, Now);
+  }
   bool IsFirst =
       queue(Request.Service).Waiting.empty() ||
       Request.Priority < queue(Request.Service).Waiting.begin()->first.first;
@@ -276,6 +281,10 @@
   const CallRequest &Request = Call.Request;
   bool MayRetry = Request.Idempotent ? Call.PossibleRuns < Request.MaxAttempts
                                      : Call.PossibleRuns == 0;
+  if (MayRetry && tooLateToSend(Request, Now)) {
+    ++Counters.StoppedCalls;
+    return endWithoutSuccess(It, CallReason::Stopping, Now);
+  }
   if (MayRetry && Now < Request.Deadline) {
     if (BackendServerPtr Server = choose(Call, Now))
       return retry(It, Server, Now);
@@ -380,7 +389,8 @@
   ServiceId Service = Attempt.Server->entry().Service;
   if (CallIt != Calls.end() && CallIt->second.OpenAttempts.empty()) {
     ++Counters.ExpiredCalls;
-    finish(CallIt, CallOutcome::Unknown, CallReason::Deadline, {}, Now);
+    finish(CallIt, CallOutcome::Unknown,
+           deadlineReason(CallIt->second.Request), {}, Now);
   }
   sendWaiting(Service, Now);
 }
@@ -414,7 +424,8 @@
       continue;
     }
     ++Counters.ExpiredCalls;
-    finish(It, outcomeWithoutAnswer(It->second), CallReason::Deadline, {}, Now);
+    finish(It, outcomeWithoutAnswer(It->second),
+           deadlineReason(It->second.Request), {}, Now);
   }
 }
 
--- a/balance/call_scheduler.h
+++ b/balance/call_scheduler.h
@@ -28,6 +28,10 @@
 //   keeps to it (server_pushback.h), whatever the purpose of an attempt. A call
 //   waits until a request is allowed if it can still be useful then, and
 //   otherwise ends at once as NotRun.
+// * The host stops, and its callers still come for seconds: a call is sent only
+//   if its answer can be expected before the host ends, and for a request that
+//   is not idempotent even from a slow backend server, since its caller could
+//   not repeat it. Other calls end as NotRun as soon as that is known.
 // * All backend servers of a service have failed: each gets one trial request
 //   at a time, and other calls end at once as Unavailable.
 // * Backend servers crash, and others take over their addresses before service
@@ -91,6 +95,8 @@
   /// Calls that did not enter the queue because their backend servers have
   /// asked for a pause or limit the rate of requests.
   uint64_t HeldBackCalls = 0;
+  /// Calls that were not sent, or not sent again, because the host stops.
+  uint64_t StoppedCalls = 0;
   /// Calls that reached the deadline.
   uint64_t ExpiredCalls = 0;
   // Attempts by their end.
@@ -115,6 +121,11 @@
   /// backend server may have run its request.
   bool cancel(CallId Id, bool CallerDisconnected, MonotonicTime Now);
 
+  /// From now on lets no call run beyond \p End, when the host stops. A call that
+  /// has been sent by then ends as Unknown at \p End. Returns the number of
+  /// queued calls that end at once.
+  size_t endCallsBy(MonotonicTime End, MonotonicTime Now);
+
   /// When the pauses and rate limits of the backend servers of \p Service allow
   /// a new call to be sent, behind those that are queued; the latest of all
   /// times if no backend server is usable. Other limits are not considered.
@@ -195,6 +206,18 @@
   using AttemptMap = std::unordered_map<AttemptId, AttemptState>;
 
   ServiceQueue &queue(const ServiceId &Service);
+  /// Applies EndCallsBy to the times of \p Request.
+  void limitTimes(CallRequest &Request) const;
+  /// Why a call on \p Request ends at its deadline.
+  CallReason deadlineReason(const CallRequest &Request) const {
+    return Request.Deadline == EndCallsBy ? CallReason::Stopping
+                                          : CallReason::Deadline;
+  }
+  /// Whether the host stops too soon for \p Request to be sent at \p Now.
+  bool tooLateToSend(const CallRequest &Request, MonotonicTime Now);
+  /// Whether \p Call, which is queued or about to be, can only be sent too late
+  /// because of what backend servers have asked for.
+  bool heldBackTooLong(const CallState &Call, MonotonicTime Now);
   Duration typicalLatency(const CallRequest &Request);
   Duration typicalLatency(const AttemptState &Attempt);
   void sendFirst(CallMap::iterator It, MonotonicTime Now);
@@ -248,6 +271,8 @@
   ServerRegistry &Registry;
   BackendTransport &Transport;
   RetryBudgetOptions BudgetOptions;
+  /// See endCallsBy().
+  MonotonicTime EndCallsBy = MonotonicTime::max();
   CallCounters Counters;
   CallMap Calls;
   AttemptMap Attempts;
--- a/balance/call_scheduler_test.cpp
+++ b/balance/call_scheduler_test.cpp
@@ -337,6 +337,86 @@
   EXPECT_EQ(Recorder.Results.size(), 6 - Sent);
 }
 
+// Guards against calls that a stopping host leaves in the queue until its
+// process ends: their requests were closed without an answer, though they had
+// not run (review case 1).
+TEST_F(CallSchedulerTest, QueuedCallsAreLostWhenTheHostStops) {
+  addServer("a");
+  Backends.Servers["a"].Silent = true;
+  CallRequest Long = request(Seconds(9));
+  Long.MaxAttempts = 1;
+  Long.Deadline = Long.UsefulUntil;
+  size_t Sent = 0;
+  for (; Calls.waitingCalls(Shard) == 0; ++Sent)
+    begin(Long);
+  Long.Idempotent = false;
+  CallId Queued = begin(Long);
+  MonotonicTime End = Backends.Now + Seconds(5);
+  EXPECT_EQ(Calls.endCallsBy(End, Backends.Now), 0u);
+  Backends.advance(Calls, End - Milliseconds(100));
+  // The queued calls end while their callers can still turn to other hosts.
+  EXPECT_EQ(Recorder.Results.size(), 2u);
+  EXPECT_EQ(Recorder.outcome(Queued), CallOutcome::NotRun);
+  Backends.advance(Calls, End);
+  EXPECT_EQ(Recorder.count(CallOutcome::NotRun), 2u);
+  EXPECT_EQ(Recorder.count(CallOutcome::Unknown), Sent - 1);
+}
+
+// Guards against calls that wait until the host ends although it is known that
+// their backend servers want nothing for longer.
+TEST_F(CallSchedulerTest, HeldBackCallsWaitForTheEndOfTheHost) {
+  addServer("a");
+  ServerNotice Notice;
+  Notice.Pause = Seconds(7);
+  BackendServerPtr Server = Registry.find(BackendServerId("a"));
+  Registry.recordNotice(*Server, Notice, Backends.Now, Backends.Now);
+  CallRequest Long = request(Seconds(9));
+  Long.Deadline = Long.UsefulUntil;
+  CallId Queued = begin(Long);
+  EXPECT_EQ(Calls.waitingCalls(Shard), 1u);
+  EXPECT_EQ(Calls.endCallsBy(Backends.Now + Seconds(5), Backends.Now), 1u);
+  EXPECT_EQ(Recorder.outcome(Queued), CallOutcome::NotRun);
+  EXPECT_EQ(Recorder.outcome(begin(Long)), CallOutcome::NotRun);
+}
+
+// Guards against requests that a stopping host sends on although it ends before
+// their answers: the callers of those that are not idempotent could not tell
+// whether they had run.
+TEST_F(CallSchedulerTest, RequestsAreBrokenOffWhenTheHostStops) {
+  struct StopCase {
+    bool Idempotent;
+    Duration Left;
+    bool Sent;
+  };
+  const StopCase Cases[] = {{true, Milliseconds(160), true},
+                            {true, Milliseconds(140), false},
+                            {false, Milliseconds(610), true},
+                            {false, Milliseconds(590), false}};
+  addServer("a");
+  for (const StopCase &Case : Cases) {
+    Calls.endCallsBy(Backends.Now + Case.Left, Backends.Now);
+    CallRequest Request = request(Seconds(2));
+    Request.Idempotent = Case.Idempotent;
+    Request.Deadline = Request.UsefulUntil;
+    uint64_t Before = Backends.Servers["a"].Arrivals;
+    CallId Id = begin(Request);
+    EXPECT_EQ(Backends.Servers["a"].Arrivals - Before, Case.Sent ? 1u : 0u);
+    if (!Case.Sent) {
+      EXPECT_EQ(Recorder.outcome(Id), CallOutcome::NotRun);
+      EXPECT_EQ(Recorder.Results.back().Reason, CallReason::Stopping);
+    }
+    Backends.advance(Calls, Backends.Now + Seconds(1));
+  }
+  // A request with a shorter deadline is not broken off.
+  Calls.endCallsBy(Backends.Now + Milliseconds(500), Backends.Now);
+  CallRequest Short = request(Milliseconds(400));
+  Short.Idempotent = false;
+  Short.Deadline = Short.UsefulUntil;
+  uint64_t Before = Backends.Servers["a"].Arrivals;
+  begin(Short);
+  EXPECT_EQ(Backends.Servers["a"].Arrivals - Before, 1u);
+}
+
 // Guards against NotRun for a request that a backend server may have run.
 TEST_F(CallSchedulerTest, UnansweredCallEndsAsUnknownAtTheDeadline) {
   addServer("a");
--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -12,12 +12,6 @@
 constexpr Duration LogFlushInterval = Milliseconds(200);
 /// Backend servers that lift their limits together are named in one message.
 constexpr Duration LiftedLimitsInterval = Milliseconds(100);
-/// Shares of the stop limit. New requests are accepted until the end of the
-/// first one, since callers keep an address for 2 s, some three times as long.
-/// Requests in flight must end within the second one, before the process is
-/// killed.
-constexpr double AcceptShare = 0.62;
-constexpr double FinishShare = 0.93;
 constexpr Duration StopPollInterval = Milliseconds(20);
 /// File descriptors that are not for callers' connections.
 constexpr size_t ReservedDescriptors = 600;
@@ -59,6 +53,7 @@
     {"mimosa_calls_unavailable_total", &CallCounters::UnavailableCalls},
     {"mimosa_calls_held_back_total", &CallCounters::HeldBackCalls},
     {"mimosa_calls_overloaded_total", &CallCounters::OverloadedCalls},
+    {"mimosa_calls_stopped_total", &CallCounters::StoppedCalls},
 };
 
 } // namespace
@@ -335,22 +330,29 @@
 }
 
 void EntryNode::stop() {
-  MonotonicTime Begin = Loop.now();
-  auto EndOf = [&](double Share) {
-    return Begin + scaled(Options.StopLimit, Share);
+  // A settings file that changes during the stop does not move its end.
+  ShutdownPlan Plan(Loop.now(), Options.StopLimit);
+  auto WaitUntil = [&](MonotonicTime End, auto Done) {
+    while (!Done() && Loop.now() < End)
+      FiberLoop::sleepFor(StopPollInterval);
   };
   logInfo("node",
           "event=stopping in_flight=" + std::to_string(Service.inFlight()));
   Directory.setLeaving();
   Feed.withdraw();
   CallerServer.closeAfterResponses();
-  while (Loop.now() < EndOf(AcceptShare))
-    FiberLoop::sleepFor(StopPollInterval);
-  Service.refuseNewRequests();
-  while (CallerServer.inFlight() > 0 && Loop.now() < EndOf(FinishShare))
-    FiberLoop::sleepFor(StopPollInterval);
+  Service.shutDown(Plan);
+  WaitUntil(Plan.acceptUntil(), [] { return false; });
+  WaitUntil(Plan.finishBy(), [&] { return Service.inFlight() == 0; });
+  size_t Unfinished = CallerServer.inFlight();
+  CallerServer.refuseIncompleteRequests();
+  WaitUntil(Plan.exitBy(),
+            [&] { return CallerServer.counters().OpenConnections == 0; });
   logInfo("node",
-          "event=stopped in_flight=" + std::to_string(CallerServer.inFlight()));
+          "event=stopped unfinished=" + std::to_string(Unfinished) +
+              " in_flight=" + std::to_string(CallerServer.inFlight()) +
+              " connections=" +
+              std::to_string(CallerServer.counters().OpenConnections));
   flushLog();
 }
 
--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -134,6 +134,9 @@
                                   ResultCode Code, const std::string &Reason,
                                   Duration RetryAfter,
                                   const std::string &Detail) {
+  // Whatever keeps this host from serving the request, another one may serve it.
+  if (Shutdown)
+    RetryAfter = std::min(RetryAfter, StoppingRetryAfter);
   recordOutcome(Context, "refused",
                 "reason=" + Reason + " retry_after_ms=" +
                     std::to_string(inMilliseconds(RetryAfter)) + Detail);
@@ -155,16 +158,19 @@
 }
 
 HttpResponse
-EntryService::refuseUnready(const DecodedCallerRequest &Decoded) const {
-  const char *Reason = Refusing ? "stopping" : "unconfigured";
+EntryService::refuseUnconfigured(const DecodedCallerRequest &Decoded) const {
   logRequest("request", "request=" + requestIdText(*Decoded.Request) +
-                            " outcome=refused reason=" + Reason);
-  HttpResponse Out = encodeRefusal(
-      {Refusing ? ResultCode::ShuttingDown : ResultCode::StoreUnavailable,
-       Reason},
-      Refusing ? StoppingRetryAfter : UnconfiguredRetryAfter);
-  Out.Close = Refusing;
-  return Out;
+                            " outcome=refused reason=unconfigured");
+  return encodeRefusal({ResultCode::StoreUnavailable, "unconfigured"},
+                       UnconfiguredRetryAfter);
+}
+
+void EntryService::shutDown(const ShutdownPlan &Plan) {
+  Shutdown = Plan;
+  size_t Ended = Scheduler.endCallsBy(Plan.finishBy(), Loop.now());
+  logInfo("request", "event=shutting_down in_flight=" +
+                         std::to_string(InFlight) + " ended_calls=" +
+                         std::to_string(Ended));
 }
 
 EntryService::RequestContext EntryService::makeContext(
@@ -195,8 +201,8 @@
     return encodeFailure(400, errorOf(DecodeResult));
   }
   const DecodedCallerRequest &Decoded = valueOf(DecodeResult);
-  if (!Routes || Refusing)
-    return refuseUnready(Decoded);
+  if (!Routes)
+    return refuseUnconfigured(Decoded);
   const Route *MatchedRoute = Routes->find(Decoded.Host, Request.path());
   if (!MatchedRoute) {
     logRequest("request", "request=" + requestIdText(*Decoded.Request) +
@@ -212,6 +218,9 @@
   if (Loop.now() >= Context.Times.Deadline)
     return refuse(Context, ResultCode::DeadlineTooShort, "waited_too_long",
                   retryAfter(CallReason::Overloaded, Duration(0), Rng));
+  if (Shutdown && Loop.now() >= Shutdown->acceptUntil())
+    return refuse(Context, ResultCode::ShuttingDown, "stopping",
+                  StoppingRetryAfter);
   ++InFlight;
   HttpResponse Out =
       MatchedRoute->isGather() ? serveGather(Context) : serveSingle(Context);
--- a/entry/entry_service.h
+++ b/entry/entry_service.h
@@ -9,6 +9,7 @@
 #define MIMOSA_ENTRY_ENTRY_SERVICE_H
 
 #include "balance/call_scheduler.h"
+#include "entry/shutdown_plan.h"
 #include "gather/gather_query.h"
 #include "platform/caller_wire.h"
 #include "quarantine/crash_watch.h"
@@ -17,6 +18,8 @@
 #include "runtime/http.h"
 #include "runtime/metrics.h"
 
+#include <optional>
+
 namespace mimosa {
 
 class EntryService : public HttpHandler {
@@ -35,8 +38,9 @@
   void setRoutes(std::shared_ptr<const RouteTable> Table) {
     Routes = std::move(Table);
   }
-  /// Refuses new requests from now on; requests in flight continue.
-  void refuseNewRequests() { Refusing = true; }
+  /// Serves requests until ShutdownPlan::acceptUntil() as far as they can end in
+  /// time, and then refuses them. All requests end by ShutdownPlan::finishBy().
+  void shutDown(const ShutdownPlan &Plan);
 
   HttpResponse handle(const HttpRequest &Request,
                       const std::shared_ptr<CallerConnection> &Caller) override;
@@ -56,8 +60,8 @@
     Fingerprint RequestFingerprint;
   };
 
-  /// Refuses a request while this host has no configuration, or is stopping.
-  HttpResponse refuseUnready(const DecodedCallerRequest &Decoded) const;
+  /// Refuses a request while this host has no configuration.
+  HttpResponse refuseUnconfigured(const DecodedCallerRequest &Decoded) const;
   RequestContext
   makeContext(const DecodedCallerRequest &Decoded, const HttpRequest &Request,
               const Route &MatchedRoute,
@@ -103,7 +107,8 @@
   std::shared_ptr<const RouteTable> Routes;
   std::unordered_map<RouteId, WeightedRoundRobin> RoundRobins;
   std::function<void(const StrikeNotice &)> StrikeCallback;
-  bool Refusing = false;
+  /// Set while the host is stopping.
+  std::optional<ShutdownPlan> Shutdown;
   size_t InFlight = 0;
 };
 
