Start without a metrics address that is taken

What callers saw: a host that shares its IP address with another one ended with status 2 at each start.

Cause: the template gives all hosts one metrics port, and EntryNode::start() failed if it was taken.

Change: the host logs the failure, serves callers, and tries the address again each second. A listener that failed is closed, so that it can be tried again.

Why it works: nothing that callers need depends on the metrics address.

--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -163,11 +163,7 @@
   Result<Done> PeersStarted = PeerFrameServer.start();
   if (!ok(PeersStarted))
     return PeersStarted;
-  if (MetricsServer) {
-    Result<Done> Started = MetricsServer->start();
-    if (!ok(Started))
-      return Started;
-  }
+  startMetricsServer();
   Loop.spawn([this] { runTimers(); });
   PeriodicTimer = Loop.every(Seconds(1), [this] { runPeriodicTasks(); });
   LiftedLimitsTimer =
@@ -180,6 +176,19 @@
   return Done{};
 }
 
+void EntryNode::startMetricsServer() {
+  if (!MetricsServer || MetricsServed)
+    return;
+  Result<Done> Started = MetricsServer->start();
+  MetricsServed = ok(Started);
+  if (MetricsServed)
+    logInfo("node", "event=metrics_served address=" + Options.MetricsAddress);
+  else if (!MetricsFailureLogged)
+    logError("node", "event=metrics_unavailable reason=\"" +
+                         errorOf(Started).Message + "\"");
+  MetricsFailureLogged = !MetricsServed;
+}
+
 void EntryNode::runTimers() {
   while (true) {
     MonotonicTime At = Scheduler.nextWakeUp();
@@ -196,6 +205,7 @@
   Registry.expirePushback(Loop.now());
   ConnectionPool.closeExpired();
   updateBusy();
+  startMetricsServer();
 }
 
 void EntryNode::updateBusy() {
--- a/entry/entry_node.h
+++ b/entry/entry_node.h
@@ -71,6 +71,9 @@
   void runTimers();
   void runPeriodicTasks();
   void updateBusy();
+  /// Serves the metrics, or tries again later: a host must not be kept from
+  /// serving callers by a metrics address that is taken.
+  void startMetricsServer();
   void applySettings();
   void registerGauges();
   HttpServerOptions serverOptions(const std::string &Address) const;
@@ -99,6 +102,8 @@
   PeerTraffic Traffic;
   PeerServer PeerFrameServer;
   std::unique_ptr<HttpServer> MetricsServer;
+  bool MetricsServed = false;
+  bool MetricsFailureLogged = false;
   /// Peer addresses of all other entry hosts.
   std::vector<HostId> OtherHosts;
   uint64_t LastAttemptCount = 0;
--- a/runtime/asio_fiber.cpp
+++ b/runtime/asio_fiber.cpp
@@ -115,10 +115,13 @@
     Acceptor.bind(valueOf(Endpoint), Failure);
   if (!Failure)
     Acceptor.listen(asio::socket_base::max_listen_connections, Failure);
-  if (Failure)
-    return Error{ResultCode::BadSetting,
-                 "listening on " + Address + " failed: " + Failure.message()};
-  return Done{};
+  if (!Failure)
+    return Done{};
+  // So that it can be tried again.
+  error_code Ignored;
+  Acceptor.close(Ignored);
+  return Error{ResultCode::BadSetting,
+               "listening on " + Address + " failed: " + Failure.message()};
 }
 
 } // namespace mimosa
