--- a/tools/start_test.py
+++ b/tools/start_test.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import signal
 import time
 import unittest
 
