--- a/balance/call_scheduler.cpp
+++ b/balance/call_scheduler.cpp
@@ -389,8 +389,8 @@
   ServiceId Service = Attempt.Server->entry().Service;
   if (CallIt != Calls.end() && CallIt->second.OpenAttempts.empty()) {
     ++Counters.ExpiredCalls;
-    finish(CallIt, CallOutcome::Unknown,
-           deadlineReason(CallIt->second.Request), {}, Now);
+    finish(CallIt, CallOutcome::Unknown, deadlineReason(CallIt->second.Request),
+           {}, Now);
   }
   sendWaiting(Service, Now);
 }
--- a/balance/call_scheduler.h
+++ b/balance/call_scheduler.h
@@ -121,9 +121,9 @@
   /// backend server may have run its request.
   bool cancel(CallId Id, bool CallerDisconnected, MonotonicTime Now);
 
-  /// From now on lets no call run beyond \p End, when the host stops. A call that
-  /// has been sent by then ends as Unknown at \p End. Returns the number of
-  /// queued calls that end at once.
+  /// From now on lets no call run beyond \p End, when the host stops. A call
+  /// that has been sent by then ends as Unknown at \p End. Returns the number
+  /// of queued calls that end at once.
   size_t endCallsBy(MonotonicTime End, MonotonicTime Now);
 
   /// When the pauses and rate limits of the backend servers of \p Service allow
--- a/base/json_fields.cpp
+++ b/base/json_fields.cpp
@@ -35,8 +35,8 @@
 std::string describe(const Json &Value) {
   if (Value.is_structured())
     return std::string("an ") + Value.type_name();
-  std::string Text =
-      Value.dump(-1, ' ', /*ensure_ascii=*/true, Json::error_handler_t::replace);
+  std::string Text = Value.dump(-1, ' ', /*ensure_ascii=*/true,
+                                Json::error_handler_t::replace);
   if (Text.size() <= MaxDescribedBytes)
     return Text;
   return Text.substr(0, MaxDescribedBytes) + "...";
--- a/entry/backend_connection_pool_test.cpp
+++ b/entry/backend_connection_pool_test.cpp
@@ -4,8 +4,8 @@
 // deadline, or pay for it with the host's memory and processor time.
 
 #include "entry/backend_connection_pool.h"
-#include "runtime/hostile_server_test_util.h"
 #include "runtime/child_process_test_util.h"
+#include "runtime/hostile_server_test_util.h"
 
 #include <gtest/gtest.h>
 
--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -358,11 +358,10 @@
   CallerServer.refuseIncompleteRequests();
   WaitUntil(Plan.exitBy(),
             [&] { return CallerServer.counters().OpenConnections == 0; });
-  logInfo("node",
-          "event=stopped unfinished=" + std::to_string(Unfinished) +
-              " in_flight=" + std::to_string(CallerServer.inFlight()) +
-              " connections=" +
-              std::to_string(CallerServer.counters().OpenConnections));
+  logInfo("node", "event=stopped unfinished=" + std::to_string(Unfinished) +
+                      " in_flight=" + std::to_string(CallerServer.inFlight()) +
+                      " connections=" +
+                      std::to_string(CallerServer.counters().OpenConnections));
   flushLog();
 }
 
--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -134,7 +134,8 @@
                                   ResultCode Code, const std::string &Reason,
                                   Duration RetryAfter,
                                   const std::string &Detail) {
-  // Whatever keeps this host from serving the request, another one may serve it.
+  // Whatever keeps this host from serving the request, another one may serve
+  // it.
   if (Shutdown)
     RetryAfter = std::min(RetryAfter, StoppingRetryAfter);
   recordOutcome(Context, "refused",
@@ -168,9 +169,9 @@
 void EntryService::shutDown(const ShutdownPlan &Plan) {
   Shutdown = Plan;
   size_t Ended = Scheduler.endCallsBy(Plan.finishBy(), Loop.now());
-  logInfo("request", "event=shutting_down in_flight=" +
-                         std::to_string(InFlight) + " ended_calls=" +
-                         std::to_string(Ended));
+  logInfo("request",
+          "event=shutting_down in_flight=" + std::to_string(InFlight) +
+              " ended_calls=" + std::to_string(Ended));
 }
 
 EntryService::RequestContext EntryService::makeContext(
--- a/entry/entry_service.h
+++ b/entry/entry_service.h
@@ -38,8 +38,9 @@
   void setRoutes(std::shared_ptr<const RouteTable> Table) {
     Routes = std::move(Table);
   }
-  /// Serves requests until ShutdownPlan::acceptUntil() as far as they can end in
-  /// time, and then refuses them. All requests end by ShutdownPlan::finishBy().
+  /// Serves requests until ShutdownPlan::acceptUntil() as far as they can end
+  /// in time, and then refuses them. All requests end by
+  /// ShutdownPlan::finishBy().
   void shutDown(const ShutdownPlan &Plan);
 
   HttpResponse handle(const HttpRequest &Request,
--- a/runtime/http_server.cpp
+++ b/runtime/http_server.cpp
@@ -274,26 +274,27 @@
 
 bool HttpServerConnection::refuseBody(RequestParser &Parser) {
   ++Counters.RefusedBodies;
-  logRequest("http", "event=body_refused connection=" + std::to_string(Id) +
-                         " bytes=" +
-                         std::to_string(Parser.get().body().size()) +
-                         " all_bytes=" +
-                         std::to_string(Server.BodyBudget.usedBytes()));
+  logRequest("http",
+             "event=body_refused connection=" + std::to_string(Id) +
+                 " bytes=" + std::to_string(Parser.get().body().size()) +
+                 " all_bytes=" + std::to_string(Server.BodyBudget.usedBytes()));
   Parser.get().body() = std::string();
   BodyShare.reset();
-  respond({503, "application/json",
-           errorBody({ResultCode::Overloaded,
-                      "the bodies of all requests together exceed " +
-                          std::to_string(Options.MaxBodyBytesTotal) +
-                          " bytes"}),
-           {{"Retry-After", BodiesRetryAfter}}},
-          false);
+  respond(
+      {503,
+       "application/json",
+       errorBody({ResultCode::Overloaded,
+                  "the bodies of all requests together exceed " +
+                      std::to_string(Options.MaxBodyBytesTotal) + " bytes"}),
+       {{"Retry-After", BodiesRetryAfter}}},
+      false);
   discardInput();
   return false;
 }
 
 bool HttpServerConnection::refuseIncomplete() {
-  respond({503, "application/json",
+  respond({503,
+           "application/json",
            errorBody({ResultCode::ShuttingDown,
                       "the host stops before the request is complete"}),
            {{"Retry-After", ShutdownRetryAfter}}},
@@ -408,12 +409,11 @@
   HttpResponse Response = Server.Handler.handle(Request, LatestCaller);
   HandlerRunning = false;
   // A pipelined request that has been read is served, too.
-  bool ServerCloses = Server.Draining ||
-                      (Server.CloseAfterResponses && Buffer.size() == 0);
-  bool KeepAlive =
-      Response.Status != 0 &&
-      respond(Response,
-              Message.keep_alive() && !Response.Close && !ServerCloses);
+  bool ServerCloses =
+      Server.Draining || (Server.CloseAfterResponses && Buffer.size() == 0);
+  bool KeepAlive = Response.Status != 0 &&
+                   respond(Response, Message.keep_alive() && !Response.Close &&
+                                         !ServerCloses);
   --Server.InFlight;
   // Bytes that arrived meanwhile would reset the connection.
   error_code Ignored;
--- a/runtime/runtime_test.cpp
+++ b/runtime/runtime_test.cpp
@@ -312,9 +312,8 @@
     ASSERT_GT(Count, 0);
     std::string Received(Bytes, static_cast<size_t>(Count));
     size_t Responses = 0;
-    for (size_t At = 0; (At = Received.find("HTTP/1.1 200", At)) !=
-                        std::string::npos;
-         ++At)
+    for (size_t At = 0;
+         (At = Received.find("HTTP/1.1 200", At)) != std::string::npos; ++At)
       ++Responses;
     EXPECT_EQ(Responses, 3u);
     EXPECT_EQ(recv(Client, Bytes, sizeof(Bytes), MSG_DONTWAIT), 0);
--- a/store_cache/missing_entries.cpp
+++ b/store_cache/missing_entries.cpp
@@ -23,8 +23,8 @@
                                    MonotonicTime Now) {
   if (RemovedAt.count(Id))
     return false;
-  MonotonicTime At =
-      Source.hasFailed() ? Source.recoveredAt().value_or(Now) + RewriteTime
+  MonotonicTime At = Source.hasFailed()
+                         ? Source.recoveredAt().value_or(Now) + RewriteTime
                          : Now;
   if (At <= Now)
     return true;
--- a/store_cache/missing_entries.h
+++ b/store_cache/missing_entries.h
@@ -56,8 +56,7 @@
 
 private:
   static MonotonicTime delayed(MonotonicTime At, const SourceHealth &Source);
-  std::optional<MonotonicTime>
-  nextRemovalAt(const SourceHealth &Source) const;
+  std::optional<MonotonicTime> nextRemovalAt(const SourceHealth &Source) const;
 
   /// Missing entries, and when each counts as removed.
   std::map<std::string, MonotonicTime> RemovedAt;
--- a/store_cache/missing_entries_test.cpp
+++ b/store_cache/missing_entries_test.cpp
@@ -47,16 +47,16 @@
   S.fail(5500);
   S.answer(5700);
   EXPECT_FALSE(S.answerWithout("i-0", 7200));
-  EXPECT_EQ(S.Missing.nextCallWithin(S.Health,
-                                     MonotonicTime(Milliseconds(7200))),
-            Duration(Milliseconds(500)));
+  EXPECT_EQ(
+      S.Missing.nextCallWithin(S.Health, MonotonicTime(Milliseconds(7200))),
+      Duration(Milliseconds(500)));
   S.answer(7600);
   EXPECT_FALSE(S.removes("i-0"));
   S.answer(7701);
   EXPECT_TRUE(S.removes("i-0"));
   EXPECT_TRUE(S.Missing.empty());
-  EXPECT_FALSE(S.Missing.nextCallWithin(S.Health,
-                                        MonotonicTime(Milliseconds(7701))));
+  EXPECT_FALSE(
+      S.Missing.nextCallWithin(S.Health, MonotonicTime(Milliseconds(7701))));
   // Later, an entry that goes missing has not expired in the outage.
   EXPECT_TRUE(S.answerWithout("i-1", 7750));
 }
@@ -129,13 +129,11 @@
   // Replies of the leader, which say how old its knowledge is.
   S.Health.recordSuccess(MonotonicTime(Milliseconds(4100)));
   EXPECT_FALSE(S.removes("i-0"));
-  EXPECT_FALSE(
-      S.Missing.overdue(S.Health, MonotonicTime(Milliseconds(6200))));
+  EXPECT_FALSE(S.Missing.overdue(S.Health, MonotonicTime(Milliseconds(6200))));
   EXPECT_TRUE(S.Missing.overdue(S.Health, MonotonicTime(Milliseconds(6300))));
   S.answer(6310);
   EXPECT_TRUE(S.removes("i-0"));
-  EXPECT_FALSE(
-      S.Missing.overdue(S.Health, MonotonicTime(Milliseconds(6310))));
+  EXPECT_FALSE(S.Missing.overdue(S.Health, MonotonicTime(Milliseconds(6310))));
 }
 
 // Without any failure, an entry that is missing was removed.
--- a/store_cache/store_cache_test.cpp
+++ b/store_cache/store_cache_test.cpp
@@ -56,8 +56,8 @@
   /// Appends a page of items after the last key in \p Listing; false if there
   /// are none.
   bool readPage(std::vector<StoreItem> &Listing, size_t Limit) const {
-    auto It = Listing.empty() ? Items.begin()
-                              : Items.upper_bound(Listing.back().Key);
+    auto It =
+        Listing.empty() ? Items.begin() : Items.upper_bound(Listing.back().Key);
     bool Found = It != Items.end();
     for (; It != Items.end() && Limit > 0; ++It, --Limit)
       Listing.push_back(It->second);
@@ -158,8 +158,8 @@
   }
 }
 
-// Guards against a change that a host misses, whatever happens between two pages
-// of a listing, whichever host it follows and whenever it asks.
+// Guards against a change that a host misses, whatever happens between two
+// pages of a listing, whichever host it follows and whenever it asks.
 RC_GTEST_PROP(StoreCache, ListingsInPagesMissNoChange, ()) {
   constexpr size_t Leaders = 2;
   constexpr size_t Hosts = 4;
