--- a/tools/entry_test.py
+++ b/tools/entry_test.py
@@ -131,6 +131,18 @@
                             f"removed {gap_s} s after the outage")
             self.register(leaver)
 
+    def test_follower_without_the_store_misses_changes_after_a_removal(self) -> None:
+        # It asked the store again and again whether a server was gone, and no longer its leader.
+        self.wait_for(2, lambda: len(self.store.keys("mimosa/hosts/")) == 1)
+        time.sleep(0.5)
+        second = self.start_second(store=f"{LOCALHOST}:1", seeds=self.entry.peer_address)
+        time.sleep(0.3)
+        self.store.remove(f"servers/{self.accounts[0].name}")
+        time.sleep(3.0)
+        self.configure(accounts="other")
+        self.wait_for(CONFIG_ACTIVE_LIMIT_S, lambda: (
+            self.send_request("/one/x", b"abc", entry=second), self.other.runs)[1])
+
     def test_odd_entries_of_another_writer_end_the_host_or_hide_changes(self) -> None:
         # An unreadable entry ended all hosts at each start (review case 4).
         nested = b"[" * 100_000 + b"]" * 100_000
