Do not allocate what a stranger's message announces

Cause: in eager mode, Beast 1.74's parser goes on after the announced length has exceeded the body limit if body bytes follow in the same buffer. The error is lost, and the body reader reserves the announced length. A backend server with Content-Length: ended hosts by std::bad_alloc. Bytes of callers' bodies were parsed as header fields in the same way. Change: the head is parsed alone (putBytes), for callers, backend servers and the store, and bodies allocate for received bytes (ReceivedBody). Result: tests for all three directions; the new cases were added to HostileServersHarmNoCaller and runtime_test.

--- a/entry/backend_connection_pool_test.cpp
+++ b/entry/backend_connection_pool_test.cpp
@@ -216,6 +216,14 @@
                                 "4\r\nbody\r\n0\r\nX: ") &&
               writeWithoutEnd(E, std::string(1024, 'x'));
      }},
+    {"an announced length beyond all memory, and a body without end",
+     [](const HostileExchange &E) {
+       // Head and body arrive in one segment, as far as there is room.
+       return writeBytes(E, "HTTP/1.1 200 OK\r\nAttempt-Id: " + E.Id +
+                                "\r\nContent-Length: 9999999999999\r\n\r\n" +
+                                std::string(1024, 'x')) &&
+              writeWithoutEnd(E, std::string(1024, 'x'));
+     }},
     {"a body without length and without end",
      [](const HostileExchange &E) {
        return writeBytes(E, "HTTP/1.1 200 OK\r\nAttempt-Id: " + E.Id +
--- a/runtime/http_channel.cpp
+++ b/runtime/http_channel.cpp
@@ -1,6 +1,7 @@
 #include "runtime/http_channel.h"
 
 #include "runtime/asio_fiber.h"
+#include "runtime/received_body.h"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -39,7 +40,7 @@
   size_t unacknowledgedBytes() override;
 
 private:
-  using ResponseParser = http::response_parser<http::string_body>;
+  using ResponseParser = http::response_parser<ReceivedBody>;
 
   std::shared_ptr<Channel> self() {
     return std::static_pointer_cast<Channel>(shared_from_this());
@@ -129,7 +130,6 @@
   Parser.emplace();
   BodyShare.reset();
   Parser->body_limit(MaxBodyBytes);
-  Parser->eager(true);
   Parser->skip(IsHeadRequest);
 }
 
@@ -220,7 +220,7 @@
 bool Channel::parseBuffered(error_code &Failure) {
   if (Buffer.size() == 0)
     return false;
-  size_t Consumed = Parser->put(Buffer.data(), Failure);
+  size_t Consumed = putBytes(*Parser, Buffer.data(), Failure);
   Buffer.consume(Consumed);
   if (Failure == http::error::need_more) {
     Failure = {};
--- a/runtime/http_client.cpp
+++ b/runtime/http_client.cpp
@@ -1,5 +1,6 @@
 #include "runtime/asio_fiber.h"
 #include "runtime/http.h"
+#include "runtime/received_body.h"
 
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -78,11 +79,16 @@
     close();
     return ioError(S.Address, "writing to", Written.Failure);
   }
-  http::response_parser<http::string_body> Parser;
+  http::response_parser<ReceivedBody> Parser;
   Parser.body_limit(MaxResponseBytes);
+  // The head is read alone, see putBytes().
   IoOutcome Read = awaitIo([&](auto Handler) {
-    http::async_read(S.Stream, S.Buffer, Parser, std::move(Handler));
+    http::async_read_header(S.Stream, S.Buffer, Parser, std::move(Handler));
   });
+  if (!Read.Failure && !Parser.is_done())
+    Read = awaitIo([&](auto Handler) {
+      http::async_read(S.Stream, S.Buffer, Parser, std::move(Handler));
+    });
   if (Read.Failure) {
     close();
     return ioError(S.Address, "reading from", Read.Failure);
--- a/runtime/http_server.cpp
+++ b/runtime/http_server.cpp
@@ -2,6 +2,7 @@
 #include "runtime/http.h"
 #include "runtime/log.h"
 #include "runtime/receive_budget.h"
+#include "runtime/received_body.h"
 
 #include <array>
 #include <boost/beast/core.hpp>
@@ -94,7 +95,7 @@
   void wakeUp() { ReadEvent.set(); }
 
 private:
-  using RequestParser = http::request_parser<http::string_body>;
+  using RequestParser = http::request_parser<ReceivedBody>;
   /// ShuttingDown: nothing more is read, see refuseIncompleteRequests().
   enum class ReadResult { Bytes, Closed, TimedOut, ShuttingDown };
 
@@ -348,7 +349,7 @@
 }
 
 bool HttpServerConnection::parse(RequestParser &Parser, error_code &Failure) {
-  size_t Consumed = Parser.put(Buffer.data(), Failure);
+  size_t Consumed = putBytes(Parser, Buffer.data(), Failure);
   Buffer.consume(Consumed);
   if (Failure == http::error::need_more)
     Failure = {};
@@ -356,7 +357,6 @@
 }
 
 bool HttpServerConnection::readRequest(RequestParser &Parser) {
-  Parser.eager(true);
   Parser.body_limit(Options.MaxBodyBytes);
   Parser.header_limit(static_cast<uint32_t>(Options.MaxHeaderBytes));
   MonotonicTime Deadline = Loop.now() + Options.RequestTimeout;
--- a/runtime/runtime_test.cpp
+++ b/runtime/runtime_test.cpp
@@ -256,6 +256,25 @@
     });
 }
 
+// Guards against a host that reserves the length that a caller announces, and
+// against body bytes that are parsed as further header fields: with the head in
+// one segment with them, the parser lost the error.
+TEST(Http, AnnouncedLengthsBeyondTheLimitAreRefused) {
+  for (const char *Length : {"2000000", "9999999999999"})
+    runInChildProcess([Length](FiberLoop &Loop) {
+      EchoHandler Handler(Loop);
+      HttpServer Server(Loop, testOptions(), Handler);
+      ASSERT_TRUE(ok(Server.start()));
+      int Client = connectTo(HttpAddress);
+      sendPatiently(Client, std::string("POST /q HTTP/1.1\r\nHost: h\r\n"
+                                        "Content-Length: ") +
+                                Length + "\r\n\r\nX-Field: body\r\n");
+      FiberLoop::sleepFor(Milliseconds(20));
+      EXPECT_EQ(receivedStatus(Client), 413);
+      close(Client);
+    });
+}
+
 // Guards against callers whose bodies, each within its limit, fill the memory
 // of a host together.
 TEST(Http, BodiesOfAllRequestsStayWithinTheirLimit) {
@@ -370,6 +389,25 @@
     });
 }
 
+// Guards against a client that reserves the length that a server announces.
+TEST(Http, ClientClosesResponsesThatAnnounceTooMuch) {
+  runInChildProcess([](FiberLoop &Loop) {
+    HostileServer Server([](const HostileExchange &E) {
+      return writeBytes(E, "HTTP/1.1 200 OK\r\n"
+                           "Content-Length: 9999999999999\r\n\r\nbody");
+    });
+    auto Opened = HttpConnection::open(Loop, Server.address(), Seconds(1));
+    ASSERT_TRUE(ok(Opened));
+    HttpRequest Request;
+    Request.Target = "/q";
+    Result<HttpResponse> Outcome =
+        valueOf(Opened)->exchange(Request, Seconds(2));
+    ASSERT_FALSE(ok(Outcome));
+    EXPECT_EQ(errorOf(Outcome).Code, ResultCode::BackendLost);
+    EXPECT_FALSE(valueOf(Opened)->isOpen());
+  });
+}
+
 class EchoPeer : public PeerHandler {
 public:
   bool handleFrame(const PeerFrame &Frame, PeerReplier Reply) override {
