Identify the teams of callers by keys

Cause: a configuration may list teams with keys; no code read them, so keys were passed on to backend servers, unknown keys were served, and withdrawn keys stayed valid. Change: requests on routes that are not anonymous need a key of a team if the configuration lists teams. The key is replaced by the team's name. A team's priority goes before the route's. A host whose configuration is not confirmed answers 503 in place of 401, and with strict-revocation refuses all keys after revoke-ms.

--- a/balance/call.h
+++ b/balance/call.h
@@ -22,6 +22,8 @@
   bool Idempotent = false;
   /// Maximum number of attempts that may run the request.
   uint32_t MaxAttempts = 1;
+  /// The team of the caller; empty if it has none.
+  TeamId Team;
   /// 0 is the most urgent.
   uint32_t Priority = 0;
   /// The caller's request should be answered within this time.
--- a/base/ids.h
+++ b/base/ids.h
@@ -66,6 +66,8 @@
 using HostId = TextId<struct HostIdTag>;
 using ServiceId = TextId<struct ServiceIdTag>;
 using CallerId = TextId<struct CallerIdTag>;
+/// A team of callers, by its name in the configuration.
+using TeamId = TextId<struct TeamIdTag>;
 using RegionId = TextId<struct RegionIdTag>;
 using AvailabilityZoneId = TextId<struct AvailabilityZoneIdTag>;
 /// A backend server, by its name in the configuration.
--- a/base/result.cpp
+++ b/base/result.cpp
@@ -32,6 +32,8 @@
     return "not_found";
   case ResultCode::BadSetting:
     return "bad_setting";
+  case ResultCode::UnknownKey:
+    return "unknown_key";
   case ResultCode::Overloaded:
     return "overloaded";
   case ResultCode::DeadlineTooShort:
@@ -48,6 +50,8 @@
     return "shutting_down";
   case ResultCode::NoBackend:
     return "no_backend";
+  case ResultCode::QuotaExceeded:
+    return "quota_exceeded";
   case ResultCode::OutcomeUnknown:
     return "outcome_unknown";
   case ResultCode::DeadlineExceeded:
--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -89,6 +89,10 @@
       DirectoryServer(Loop, serverOptions(Options.DirectoryAddress), Pages),
       PeerFrameServer(Loop, Options.PeerAddress.text(), *this, Traffic) {
   ConnectionPool.setScheduler(Scheduler);
+  Service.setRevocationLimit(Options.StrictRevocation
+                                 ? std::optional(Options.RevocationLimit)
+                                 : std::nullopt,
+                             [this] { return Feed.cacheAge(); });
   Service.onStrike([this](const StrikeNotice &N) { broadcastStrike(N); });
   Scheduler.onEarlierWakeUp([this] { TimerChanged.set(); });
   if (!Options.MetricsAddress.empty())
@@ -226,7 +230,10 @@
 void EntryNode::routingChanged(RoutingConfig Config) {
   logInfo("node",
           "event=config_applied version=" + std::to_string(Config.Version) +
-              " routes=" + std::to_string(Config.Routes.size()));
+              " routes=" + std::to_string(Config.Routes.size()) +
+              (Config.Teams
+                   ? " teams=" + std::to_string(Config.Teams->Teams.size())
+                   : std::string()));
   const CallerLimits &Limits = Config.Limits;
   CallerServer.setLimits(Limits.MaxHeaderBytes, Limits.MaxBodyBytes,
                          Limits.HeaderTimeout,
--- a/entry/entry_options.cpp
+++ b/entry/entry_options.cpp
@@ -21,6 +21,8 @@
   std::string Peer;
   std::string Seeds;
   std::string FirstStart = "false";
+  std::string StrictRevocation = "false";
+  int64_t RevokeMs = inMilliseconds(Values.RevocationLimit);
   int64_t AddressLifetimeS = Values.AddressLifetime / Seconds(1);
   int64_t LongestLifetimeS = 5;
   double StopLimitS = inSeconds(Values.StopLimit);
@@ -65,6 +67,11 @@
                  &Values.ColdOverage, 0, 100);
   Parser.decimal("cold-slack", "requests per second on top of that rate",
                  &Values.ColdSlack, 0, 1e6);
+  Parser.text("strict-revocation",
+              "true if requests with a key are refused while the configuration "
+              "has not been confirmed for revoke-ms",
+              &StrictRevocation);
+  Parser.number("revoke-ms", "see strict-revocation", &RevokeMs, 100, 600000);
   Parser.number("address-lifetime-s", "how long callers keep an address",
                 &AddressLifetimeS, 1, 60);
   Parser.number("longest-address-lifetime-s",
@@ -91,6 +98,8 @@
   std::vector<std::string> SeedList = splitList(Seeds);
   Options.Seeds = std::vector<HostId>(SeedList.begin(), SeedList.end());
   Options.FirstStart = FirstStart == "true";
+  Options.StrictRevocation = StrictRevocation == "true";
+  Options.RevocationLimit = Milliseconds(RevokeMs);
   Options.RetryBudget.Window = Milliseconds(WindowMs);
   Options.AddressLifetime =
       Seconds(std::min(AddressLifetimeS, LongestLifetimeS));
--- a/entry/entry_options.h
+++ b/entry/entry_options.h
@@ -37,6 +37,10 @@
   /// server: its configured rate times ColdOverage, plus ColdSlack.
   double ColdOverage = 1.5;
   double ColdSlack = 5;
+  /// A withdrawn key is not accepted beyond RevocationLimit, even if this host
+  /// cannot find out whether it was withdrawn.
+  bool StrictRevocation = false;
+  Duration RevocationLimit = Milliseconds(5000);
   /// How long callers may keep an address.
   Duration AddressLifetime = Seconds(2);
   /// Longest time from a termination signal to the end of the process.
--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -19,6 +19,11 @@
 constexpr Duration StoppingRetryAfter = Milliseconds(20);
 /// A request that crashes backend servers stays quarantined for minutes.
 constexpr Duration QuarantinedRetryAfter = Seconds(10);
+/// A configuration that has not been confirmed for this long may lack a new
+/// key. It is longer than the usual time between two confirmations.
+constexpr Duration StaleConfigAge = Milliseconds(2400);
+/// Other hosts, which callers may choose, usually have the new configuration.
+constexpr Duration StaleConfigRetryAfter = Milliseconds(100);
 /// Services whose held back servers a line of the log names.
 constexpr size_t MaxDescribedServices = 3;
 
@@ -77,7 +82,9 @@
   Out.Route = Context.MatchedRoute.Id;
   Out.Idempotent = Context.MatchedRoute.Idempotent;
   Out.MaxAttempts = Context.MatchedRoute.MaxAttempts;
-  Out.Priority = Context.MatchedRoute.Priority;
+  if (Context.CallerTeam)
+    Out.Team = Context.CallerTeam->Id;
+  Out.Priority = Context.Priority;
   Out.TargetLatency = Context.MatchedRoute.TargetLatency;
   Out.Deadline = Context.Times.Deadline;
   Out.UsefulUntil = Context.MatchedRoute.isGather() ? Context.Times.PartialFrom
@@ -94,6 +101,12 @@
   Duration Elapsed = Loop.now() - Context.ArrivedAt;
   Labels L = {{"route", Context.MatchedRoute.Id.text()}, {"outcome", Outcome}};
   Metrics.counter("mimosa_requests_total", L).add();
+  if (Context.CallerTeam)
+    Metrics
+        .counter(
+            "mimosa_team_requests_total",
+            {{"team", Context.CallerTeam->Id.text()}, {"outcome", Outcome}})
+        .add();
   Metrics
       .histogram("mimosa_request_seconds",
                  {{"route", Context.MatchedRoute.Id.text()}})
@@ -101,6 +114,8 @@
   logRequest("request",
              "request=" + requestIdText(*Context.Request) +
                  " route=" + Context.MatchedRoute.Id.text() +
+                 (Context.CallerTeam ? " team=" + Context.CallerTeam->Id.text()
+                                     : std::string()) +
                  " version=" + std::to_string(Context.Table->version()) +
                  " outcome=" + Outcome + " elapsed_us=" +
                  std::to_string(Elapsed.count()) + " " + Detail);
@@ -176,7 +191,7 @@
 
 EntryService::RequestContext EntryService::makeContext(
     const DecodedCallerRequest &Decoded, const HttpRequest &Request,
-    const Route &MatchedRoute,
+    const Route &MatchedRoute, const Team *CallerTeam,
     const std::shared_ptr<CallerConnection> &Caller) const {
   Duration Allowed = std::min(Decoded.Timeout, MatchedRoute.Timeout);
   MonotonicTime Deadline =
@@ -185,17 +200,48 @@
   std::string_view Head = Decoded.Request->Head;
   Fingerprint RequestFingerprint = requestFingerprint(
       Decoded.Host, Head.substr(0, Head.find('\r')), Decoded.Request->Body);
+  uint32_t Priority = combinedPriority(CallerTeam ? CallerTeam->Priority : 0,
+                                       MatchedRoute.Priority);
   return {
-      MatchedRoute,      Routes,
+      MatchedRoute,      CallerTeam,
+      Priority,          Routes,
       Decoded.Request,   Caller,
       Request.ArrivedAt, gatherTimes(MatchedRoute, Request.ArrivedAt, Deadline),
       RequestFingerprint};
 }
 
+std::variant<const Team *, HttpResponse>
+EntryService::identifyTeam(const DecodedCallerRequest &Decoded,
+                           const Route &MatchedRoute) const {
+  const std::optional<TeamConfig> &Teams = Routes->config().Teams;
+  if (!Teams || (MatchedRoute.Anonymous && !Decoded.HasCredentials))
+    return static_cast<const Team *>(nullptr);
+  Duration Age = ConfigAge();
+  std::optional<size_t> Found = Teams->Keys.find(Decoded.Key);
+  bool Stale = Found ? RevocationLimit && Age >= *RevocationLimit
+                     : !Decoded.Key.empty() && Age >= StaleConfigAge;
+  const char *Reason = !Decoded.HasCredentials ? "no_key"
+                       : Found                 ? "key_not_confirmed"
+                                               : "unknown_key";
+  if (Found && !Stale)
+    return &Teams->Teams[*Found];
+  logRequest("request",
+             "request=" + requestIdText(*Decoded.Request) + " outcome=" +
+                 (Stale ? "refused" : "unauthorized") + " reason=" + Reason +
+                 " version=" + std::to_string(Routes->version()) +
+                 " config_age_ms=" + std::to_string(inMilliseconds(Age)));
+  if (Stale)
+    return encodeRefusal({ResultCode::StoreUnavailable, Reason},
+                         StaleConfigRetryAfter);
+  return encodeFailure(401, {ResultCode::UnknownKey, Reason});
+}
+
 HttpResponse
 EntryService::handle(const HttpRequest &Request,
                      const std::shared_ptr<CallerConnection> &Caller) {
-  Result<DecodedCallerRequest> DecodeResult = decodeCallerRequest(Request);
+  Result<DecodedCallerRequest> DecodeResult = decodeCallerRequest(
+      Request, Routes && Routes->config().Teams ? CallerKeys::Used
+                                                : CallerKeys::Ignored);
   if (!ok(DecodeResult)) {
     logRequest("request", "outcome=bad_request reason=\"" +
                               errorOf(DecodeResult).Message + "\"");
@@ -212,7 +258,14 @@
                               " version=" + std::to_string(Routes->version()));
     return encodeFailure(404, {ResultCode::NotFound, "no route"});
   }
-  RequestContext Context = makeContext(Decoded, Request, *MatchedRoute, Caller);
+  auto Identified = identifyTeam(Decoded, *MatchedRoute);
+  if (HttpResponse *Refusal = std::get_if<HttpResponse>(&Identified))
+    return std::move(*Refusal);
+  const Team *CallerTeam = std::get<const Team *>(Identified);
+  if (CallerTeam)
+    setTeam(*Decoded.Request, CallerTeam->Id);
+  RequestContext Context =
+      makeContext(Decoded, Request, *MatchedRoute, CallerTeam, Caller);
   if (Crashes.quarantined(Context.RequestFingerprint, Loop.now()))
     return refuse(Context, ResultCode::Quarantined, "crashes_backend_servers",
                   QuarantinedRetryAfter);
@@ -232,8 +285,7 @@
 Duration EntryService::availableIn(const RequestContext &Context,
                                    const ServiceId &Service) const {
   MonotonicTime Now = Loop.now();
-  MonotonicTime At =
-      Scheduler.expectedSendAt(Service, Context.MatchedRoute.Priority, Now);
+  MonotonicTime At = Scheduler.expectedSendAt(Service, Context.Priority, Now);
   return At == MonotonicTime::max() ? Duration(0) : At - Now;
 }
 
@@ -307,7 +359,7 @@
                              MonotonicTime Now) const {
   std::vector<ServiceId> Out;
   for (const ServiceId &Shard : Context.MatchedRoute.Shards)
-    if (Scheduler.expectedSendAt(Shard, Context.MatchedRoute.Priority, Now) >
+    if (Scheduler.expectedSendAt(Shard, Context.Priority, Now) >
         Context.Times.PartialFrom)
       Out.push_back(Shard);
   return Out;
@@ -315,8 +367,8 @@
 
 HttpResponse EntryService::serveGather(const RequestContext &Context) {
   MonotonicTime Now = Loop.now();
-  MonotonicTime AvailableAt =
-      coverageAvailableAt(Context.MatchedRoute, Scheduler, Now);
+  MonotonicTime AvailableAt = coverageAvailableAt(
+      Context.MatchedRoute, Context.Priority, Scheduler, Now);
   if (AvailableAt == MonotonicTime::max())
     return refuse(Context, ResultCode::NoBackend, "shards_unavailable",
                   retryAfter(CallReason::Unavailable, Duration(0), Rng));
--- a/entry/entry_service.h
+++ b/entry/entry_service.h
@@ -19,6 +19,7 @@
 #include "runtime/metrics.h"
 
 #include <optional>
+#include <variant>
 
 namespace mimosa {
 
@@ -43,6 +44,15 @@
   /// ShutdownPlan::finishBy().
   void shutDown(const ShutdownPlan &Plan);
 
+  /// How long a withdrawn key may still be accepted if this host cannot find
+  /// out whether it was withdrawn; empty if there is no bound. \p ConfigAge
+  /// returns the time since the configuration was last known to be the newest.
+  void setRevocationLimit(std::optional<Duration> Limit,
+                          std::function<Duration()> ConfigAge) {
+    RevocationLimit = Limit;
+    this->ConfigAge = std::move(ConfigAge);
+  }
+
   HttpResponse handle(const HttpRequest &Request,
                       const std::shared_ptr<CallerConnection> &Caller) override;
 
@@ -52,6 +62,10 @@
   /// A request that is being served.
   struct RequestContext {
     const Route &MatchedRoute;
+    /// Null if the caller has no team.
+    const Team *CallerTeam;
+    /// That of the team goes before that of the route.
+    uint32_t Priority;
     /// Keeps MatchedRoute alive.
     std::shared_ptr<const RouteTable> Table;
     std::shared_ptr<const CallerRequest> Request;
@@ -61,11 +75,16 @@
     Fingerprint RequestFingerprint;
   };
 
+  /// The caller's team, null if the request needs none, or the response to a
+  /// request without a valid key.
+  std::variant<const Team *, HttpResponse>
+  identifyTeam(const DecodedCallerRequest &Decoded,
+               const Route &MatchedRoute) const;
   /// Refuses a request while this host has no configuration.
   HttpResponse refuseUnconfigured(const DecodedCallerRequest &Decoded) const;
   RequestContext
   makeContext(const DecodedCallerRequest &Decoded, const HttpRequest &Request,
-              const Route &MatchedRoute,
+              const Route &MatchedRoute, const Team *CallerTeam,
               const std::shared_ptr<CallerConnection> &Caller) const;
   /// How long the pauses and rate limits of the backend servers of \p Service
   /// delay one more call; 0 if no backend server is usable.
@@ -106,6 +125,8 @@
   MetricsRegistry &Metrics;
   Random &Rng;
   std::shared_ptr<const RouteTable> Routes;
+  std::optional<Duration> RevocationLimit;
+  std::function<Duration()> ConfigAge = [] { return Duration(0); };
   std::unordered_map<RouteId, WeightedRoundRobin> RoundRobins;
   std::function<void(const StrikeNotice &)> StrikeCallback;
   /// Set while the host is stopping.
--- a/gather/gather_query.cpp
+++ b/gather/gather_query.cpp
@@ -25,13 +25,13 @@
   return {std::min(ArrivedAt + PartialDelay, Deadline), Deadline};
 }
 
-MonotonicTime coverageAvailableAt(const Route &R,
+MonotonicTime coverageAvailableAt(const Route &R, uint32_t Priority,
                                   const CallScheduler &Scheduler,
                                   MonotonicTime Now) {
   // The times of the shards that have to wait.
   std::vector<MonotonicTime> Later;
   for (const ServiceId &Shard : R.Shards) {
-    MonotonicTime At = Scheduler.expectedSendAt(Shard, R.Priority, Now);
+    MonotonicTime At = Scheduler.expectedSendAt(Shard, Priority, Now);
     if (At > Now)
       Later.push_back(At);
   }
--- a/gather/gather_query.h
+++ b/gather/gather_query.h
@@ -35,12 +35,12 @@
 GatherTimes gatherTimes(const Route &R, MonotonicTime ArrivedAt,
                         MonotonicTime Deadline);
 
-/// When enough shards of \p R can take a call to reach its minimum coverage, as
-/// far as pauses and rate limits of their backend servers and failures are
-/// concerned; the latest of all times if too few have usable backend servers. A
-/// query that would have to wait for longer than GatherTimes::PartialFrom is
-/// refused before any call.
-MonotonicTime coverageAvailableAt(const Route &R,
+/// When enough shards of \p R can take a call of \p Priority to reach its
+/// minimum coverage, as far as pauses and rate limits of their backend servers
+/// and failures are concerned; the latest of all times if too few have usable
+/// backend servers. A query that would have to wait for longer than
+/// GatherTimes::PartialFrom is refused before any call.
+MonotonicTime coverageAvailableAt(const Route &R, uint32_t Priority,
                                   const CallScheduler &Scheduler,
                                   MonotonicTime Now);
 
--- a/model/simulation.cpp
+++ b/model/simulation.cpp
@@ -45,8 +45,8 @@
 
   void start() {
     Self = shared_from_this();
-    MonotonicTime AvailableAt =
-        coverageAvailableAt(Definition, Host.scheduler(), Queue.now());
+    MonotonicTime AvailableAt = coverageAvailableAt(
+        Definition, Definition.Priority, Host.scheduler(), Queue.now());
     if (AvailableAt > Times.PartialFrom) {
       bool Known = AvailableAt != MonotonicTime::max();
       LastReason = Known ? CallReason::HeldBack : CallReason::Unavailable;
--- a/routing/module.cmake
+++ b/routing/module.cmake
@@ -1,1 +1,1 @@
-mimosa_module(routing mimosa_base)
+mimosa_module(routing mimosa_base nettle)
--- a/routing/route.h
+++ b/routing/route.h
@@ -10,8 +10,11 @@
 
 #include "base/ids.h"
 #include "base/time.h"
+#include "routing/key_table.h"
 
+#include <algorithm>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -42,6 +45,8 @@
   uint32_t MaxAttempts = 1;
   /// 0 is the most urgent.
   uint32_t Priority = 0;
+  /// Requests need no key of a team.
+  bool Anonymous = false;
   /// The services of which one runs a request; empty if there are shards.
   std::vector<WeightedService> Targets;
   /// The services that all run a request; empty if there are targets.
@@ -66,6 +71,34 @@
   std::string HealthPath;
 };
 
+/// Callers that are identified by common keys and share a quota.
+struct Team {
+  TeamId Id;
+  /// Goes before the priority of a route; 0 is the most urgent.
+  uint32_t Priority = 0;
+  /// Requests per second of all hosts together; 0 if not limited.
+  double RatePerSecond = 0;
+  /// Requests that may exceed the rate at once.
+  double Burst = 0;
+};
+
+/// The priority of a request of a team of \p TeamPriority on a route of
+/// \p RoutePriority: the team's goes first. Callers without a team have the
+/// priority 0 of a team.
+constexpr uint32_t combinedPriority(uint32_t TeamPriority,
+                                    uint32_t RoutePriority) {
+  constexpr uint32_t Limit = 1 << 16;
+  return std::min(TeamPriority, Limit - 1) * Limit +
+         std::min(RoutePriority, Limit - 1);
+}
+
+/// The teams of a configuration.
+struct TeamConfig {
+  std::vector<Team> Teams;
+  /// The keys; they refer to indexes of Teams.
+  KeyTable Keys;
+};
+
 /// Limits on callers' requests and connections.
 struct CallerLimits {
   size_t MaxHeaderBytes = 16384;
@@ -80,6 +113,8 @@
   std::vector<Route> Routes;
   std::unordered_map<ServiceId, ServiceLimits> Services;
   CallerLimits Limits;
+  /// If present, requests on routes that are not anonymous need a key.
+  std::optional<TeamConfig> Teams;
 };
 
 } // namespace mimosa
