--- a/entry/shutdown_plan.cpp
+++ b/entry/shutdown_plan.cpp
@@ -3,7 +3,7 @@
 namespace mimosa {
 
 namespace {
-/// Shares of the limit. Callers keep an address for 2 s, some three times as
+/// Shares of the limit. Callers keep an address for 5 s, some three times as
 /// long; the later a request begins, the more likely it is broken off.
 constexpr double AcceptShare = 0.62;
 constexpr double FinishShare = 0.93;
