Share the quotas of teams between hosts

Cause: a team's rate and burst bind all hosts together, and nothing enforced them.

EntryService takes a token after it has identified the team, answers 429 if there is none, and gives it back if the request has not run.

--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -83,6 +83,8 @@
       OwnRegistration(candidateOf(Self), Options.FirstStart, Rng),
       Store(Loop, Options.StoreAddress),
       Feed(Loop, Store, Self, Options.Seeds, Options.Relaying, *this),
+      Quota(Loop, Feed.peers(), Options.PeerAddress, Incarnation(Seed),
+            Options.Quota, Metrics),
       Pages(Directory), MetricsHandler(*this),
       CallerServer(Loop, serverOptions(Options.CallerAddress), Service),
       ReadyServer(Loop, serverOptions(Options.ReadyAddress), Pages),
@@ -94,6 +96,7 @@
                                  : std::nullopt,
                              [this] { return Feed.cacheAge(); });
   Service.onStrike([this](const StrikeNotice &N) { broadcastStrike(N); });
+  Service.setQuota(Quota);
   Scheduler.onEarlierWakeUp([this] { TimerChanged.set(); });
   if (!Options.MetricsAddress.empty())
     MetricsServer = std::make_unique<HttpServer>(
@@ -173,6 +176,7 @@
   LiftedLimitsTimer =
       Loop.every(LiftedLimitsInterval, [this] { broadcastLiftedLimits(); });
   LogFlushTimer = Loop.every(LogFlushInterval, [] { flushLog(); });
+  Quota.start();
   Feed.start();
   logInfo("node", "event=started host=" + Options.HostName +
                       " zone=" + Options.Zone.text() + " callers=" +
@@ -240,6 +244,7 @@
                          Limits.IdleTimeout + IdleTimeoutMargin);
   for (const auto &[Id, S] : Config.Services)
     Registry.setLimits(Id, S.MaxConnections, S.ColdRate);
+  Quota.setTeams(Config.Teams ? &*Config.Teams : nullptr);
   Service.setRoutes(std::make_shared<const RouteTable>(std::move(Config)));
   Directory.setConfigured();
 }
@@ -281,6 +286,14 @@
       OtherHosts.push_back(Host.PeerAddress);
   Directory.setHosts(std::move(Hosts), Loop.now());
   Registry.setHostCount(Directory.sharingHosts(Loop.now()));
+  updateQuotaHosts();
+}
+
+void EntryNode::updateQuotaHosts() {
+  std::vector<HostId> Serving;
+  for (const EntryHost &Host : Directory.servingHosts())
+    Serving.push_back(Host.PeerAddress);
+  Quota.setHosts(Serving);
 }
 
 std::optional<MonotonicTime> EntryNode::registerAt() {
@@ -300,6 +313,10 @@
     limitsLifted(Frame);
     return true;
   }
+  if (Frame.Type == MessageType::SharedUsage) {
+    Quota.handleReport(Frame);
+    return true;
+  }
   if (Frame.Type != MessageType::StrikeNotice)
     return Feed.peerHandler().handleFrame(Frame, std::move(Reply));
   Result<StrikeNotice> Notice = unpackBody<StrikeNotice>(Frame.Body);
@@ -360,6 +377,7 @@
   CallerServer.closeAfterResponses();
   Service.shutDown(Plan);
   WaitUntil(Plan.acceptUntil(), [] { return false; });
+  Quota.leave();
   WaitUntil(Plan.finishBy(), [&] { return Service.inFlight() == 0; });
   size_t Unfinished = CallerServer.inFlight();
   CallerServer.refuseIncompleteRequests();
--- a/entry/entry_node.h
+++ b/entry/entry_node.h
@@ -13,6 +13,7 @@
 #include "entry/entry_options.h"
 #include "entry/entry_service.h"
 #include "entry/host_directory.h"
+#include "entry/team_quota.h"
 #include "placement/registration.h"
 #include "platform/platform_feed.h"
 #include "runtime/loop_monitor.h"
@@ -68,6 +69,8 @@
   void broadcastStrike(const StrikeNotice &Notice);
   void broadcastLiftedLimits();
   void limitsLifted(const PeerFrame &Frame);
+  /// Names the hosts that share the quotas of teams.
+  void updateQuotaHosts();
   void runTimers();
   void runPeriodicTasks();
   void updateBusy();
@@ -94,6 +97,7 @@
   Registration OwnRegistration;
   MetadataStore Store;
   PlatformFeed Feed;
+  TeamQuota Quota;
   DirectoryPages Pages;
   MetricsPage MetricsHandler;
   HttpServer CallerServer;
--- a/entry/entry_options.cpp
+++ b/entry/entry_options.cpp
@@ -27,6 +27,7 @@
   int64_t LongestLifetimeS = 5;
   double StopLimitS = inSeconds(Values.StopLimit);
   int64_t WindowMs = inMilliseconds(Values.RetryBudget.Window);
+  double QuotaWindowS = inSeconds(Values.Quota.Window);
   int64_t MemoryMb = static_cast<int64_t>(Values.MemoryBytes >> 20);
   int64_t Descriptors = static_cast<int64_t>(Values.MaxDescriptors);
   Settings Parser{"mimosa-entry", "entry daemon of mimosawall, with its "
@@ -67,6 +68,13 @@
                  &Values.ColdOverage, 0, 100);
   Parser.decimal("cold-slack", "requests per second on top of that rate",
                  &Values.ColdSlack, 0, 1e6);
+  Parser.decimal("quota-window-s", "window of quota-overage and quota-slack",
+                 &QuotaWindowS, 0.1, 3600);
+  Parser.decimal("quota-overage",
+                 "share by which a team may exceed its quota in a window",
+                 &Values.Quota.Overage, 0, 100);
+  Parser.decimal("quota-slack", "requests of a team in a window on top of that",
+                 &Values.Quota.Slack, 0, 1e6);
   Parser.text("strict-revocation",
               "true if requests with a key are refused while the configuration "
               "has not been confirmed for revoke-ms",
@@ -101,6 +109,7 @@
   Options.StrictRevocation = StrictRevocation == "true";
   Options.RevocationLimit = Milliseconds(RevokeMs);
   Options.RetryBudget.Window = Milliseconds(WindowMs);
+  Options.Quota.Window = Duration(static_cast<int64_t>(QuotaWindowS * 1e6));
   Options.AddressLifetime =
       Seconds(std::min(AddressLifetimeS, LongestLifetimeS));
   Options.StopLimit = Duration(static_cast<int64_t>(StopLimitS * 1e6));
--- a/entry/entry_options.h
+++ b/entry/entry_options.h
@@ -6,6 +6,7 @@
 #include "balance/retry_budget.h"
 #include "base/ids.h"
 #include "base/time.h"
+#include "shared_limit/shared_limits.h"
 #include "store_cache/store_cache_relay.h"
 
 #include <optional>
@@ -37,6 +38,8 @@
   /// server: its configured rate times ColdOverage, plus ColdSlack.
   double ColdOverage = 1.5;
   double ColdSlack = 5;
+  /// Bound on the requests of a team in any window, see SharedLimitOptions.
+  SharedLimitOptions Quota;
   /// A withdrawn key is not accepted beyond RevocationLimit, even if this host
   /// cannot find out whether it was withdrawn.
   bool StrictRevocation = false;
--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -149,6 +149,7 @@
                                   ResultCode Code, const std::string &Reason,
                                   Duration RetryAfter,
                                   const std::string &Detail) {
+  refundQuota(Context);
   // Whatever keeps this host from serving the request, another one may serve
   // it.
   if (Shutdown)
@@ -159,6 +160,20 @@
   return encodeRefusal({Code, Reason}, RetryAfter);
 }
 
+HttpResponse EntryService::refuseOverQuota(const RequestContext &Context) {
+  Duration RetryAfter = Quota->retryAfter(Context.CallerTeam->Id, Rng);
+  recordOutcome(Context, "refused",
+                "reason=quota retry_after_ms=" +
+                    std::to_string(inMilliseconds(RetryAfter)) + " " +
+                    Quota->describe(Context.CallerTeam->Id));
+  return encodeQuotaRefusal({ResultCode::QuotaExceeded, "quota"}, RetryAfter);
+}
+
+void EntryService::refundQuota(const RequestContext &Context) {
+  if (Context.Counted)
+    Quota->refund(Context.CallerTeam->Id);
+}
+
 HttpResponse EntryService::fail(const RequestContext &Context, bool TimedOut,
                                 const std::string &Reason) {
   recordOutcome(Context, TimedOut ? "timeout" : "lost", Reason);
@@ -275,7 +290,15 @@
   if (Shutdown && Loop.now() >= Shutdown->acceptUntil())
     return refuse(Context, ResultCode::ShuttingDown, "stopping",
                   StoppingRetryAfter);
+  // Counted before the fiber may be suspended: a stop waits for it.
   ++InFlight;
+  if (CallerTeam && Quota) {
+    if (!Quota->admit(CallerTeam->Id, Context.Times.Deadline)) {
+      --InFlight;
+      return refuseOverQuota(Context);
+    }
+    Context.Counted = true;
+  }
   HttpResponse Out =
       MatchedRoute->isGather() ? serveGather(Context) : serveSingle(Context);
   --InFlight;
@@ -303,7 +326,8 @@
   Observer.Ended.wait();
   Context.Caller->onDisconnect(nullptr);
   if (!Observer.Result) {
-    Scheduler.cancel(Id, true, Loop.now());
+    if (!Scheduler.cancel(Id, true, Loop.now()))
+      refundQuota(Context);
     return closeWithoutAnswer(Context);
   }
   CallResult &R = *Observer.Result;
@@ -401,8 +425,11 @@
   recordCrashes(Context, Context.MatchedRoute.Shards.front(),
                 Query.lostAttempts(),
                 Query.missingShards() < Query.totalShards());
-  if (Context.Caller->disconnected())
+  if (Context.Caller->disconnected()) {
+    if (!MayHaveRun)
+      refundQuota(Context);
     return closeWithoutAnswer(Context);
+  }
   std::string Detail = "shards=" + std::to_string(Query.totalShards()) +
                        " missing=" + std::to_string(Query.missingShards()) +
                        " reason=" + callReasonName(Query.lastReason()) +
--- a/entry/entry_service.h
+++ b/entry/entry_service.h
@@ -10,6 +10,7 @@
 
 #include "balance/call_scheduler.h"
 #include "entry/shutdown_plan.h"
+#include "entry/team_quota.h"
 #include "gather/gather_query.h"
 #include "platform/caller_wire.h"
 #include "quarantine/crash_watch.h"
@@ -36,6 +37,9 @@
     StrikeCallback = std::move(Callback);
   }
 
+  /// Requests of teams are subject to \p NewQuota, which must outlive this.
+  void setQuota(TeamQuota &NewQuota) { Quota = &NewQuota; }
+
   void setRoutes(std::shared_ptr<const RouteTable> Table) {
     Routes = std::move(Table);
   }
@@ -73,6 +77,8 @@
     MonotonicTime ArrivedAt;
     GatherTimes Times;
     Fingerprint RequestFingerprint;
+    /// The request is counted in the quota of its team.
+    bool Counted = false;
   };
 
   /// The caller's team, null if the request needs none, or the response to a
@@ -90,6 +96,10 @@
   /// delay one more call; 0 if no backend server is usable.
   Duration availableIn(const RequestContext &Context,
                        const ServiceId &Service) const;
+  /// Refuses a request because the quota of its team is used up.
+  HttpResponse refuseOverQuota(const RequestContext &Context);
+  /// Gives the request, which has not run, back to the quota of its team.
+  void refundQuota(const RequestContext &Context);
   HttpResponse serveSingle(const RequestContext &Context);
   HttpResponse serveGather(const RequestContext &Context);
   /// Cancels the calls of a query that have not ended, and describes them in
@@ -124,6 +134,7 @@
   CrashWatch &Crashes;
   MetricsRegistry &Metrics;
   Random &Rng;
+  TeamQuota *Quota = nullptr;
   std::shared_ptr<const RouteTable> Routes;
   std::optional<Duration> RevocationLimit;
   std::function<Duration()> ConfigAge = [] { return Duration(0); };
--- a/entry/host_directory.h
+++ b/entry/host_directory.h
@@ -32,6 +32,9 @@
   /// of the last 30 s, since a host without an entry may still be serving.
   uint32_t sharingHosts(MonotonicTime Now);
 
+  /// The hosts to which callers are sent.
+  const std::vector<EntryHost> &servingHosts() const { return Hosts; }
+
   /// Whether requests of callers are to be expected here: they are sent to this
   /// host, or were so in the last 30 s, or it made many attempts in the last
   /// second (\p RecentAttempts). Callers keep an address for a while, also that
--- /dev/null
+++ b/shared_limit/module.cmake
@@ -0,0 +1,1 @@
+mimosa_module(shared_limit mimosa_base)
--- /dev/null
+++ b/shared_limit/shared_limits.cpp
@@ -0,0 +1,521 @@
+#include "shared_limit/shared_limits.h"
+
+#include <algorithm>
+
+namespace mimosa {
+
+namespace {
+/// Part of the margin of the rule that bursts may use if the limit's own burst
+/// is smaller: a level of less than some tokens cannot be divided among hosts.
+constexpr double BurstPartOfMargin = 0.125;
+/// Part of the margin that stands in for the shares of hosts that are not
+/// connected. The rest is left for tokens that are taken at the same moment.
+constexpr double RatePartOfMargin = 0.85;
+/// Requests wait for up to this long between admission and arrival at a backend
+/// server, so that arrivals can be closer together than admissions.
+constexpr Duration AdmissionToArrival = Milliseconds(300);
+/// Tokens are promised to refused callers for at most this long in advance.
+constexpr Duration LongestPromise = Seconds(5);
+/// More hosts and limits than any deployment has; reports of others are
+/// ignored.
+constexpr size_t MaxPeers = 4096;
+constexpr size_t MaxLimits = 65536;
+/// Levels are not refilled more often, since that visits all limits.
+constexpr Duration AdvanceInterval = Milliseconds(1);
+/// Fewer unacknowledged tokens cause no report before the next round: most
+/// limits are used rarely, and a request that is refused for this reason causes
+/// one.
+constexpr int64_t EarlyReportTokens = 2;
+
+Duration secondsOf(double Value) {
+  constexpr double Longest = 3600;
+  return Duration(static_cast<int64_t>(std::min(Value, Longest) * 1e6));
+}
+} // namespace
+
+double SharedLimits::margin(const Bucket &B) const {
+  return (B.Rate * inSeconds(Options.Window) + B.Burst) * Options.Overage +
+         Options.Slack;
+}
+
+double SharedLimits::capacity(const Bucket &B) const {
+  return std::max({B.Burst, margin(B) * BurstPartOfMargin, 1.0});
+}
+
+double SharedLimits::overshoot(const Bucket &B) const {
+  double Left = margin(B) - (capacity(B) - B.Burst) -
+                B.Rate * inSeconds(AdmissionToArrival);
+  return std::max(Left, 1.0);
+}
+
+double SharedLimits::share() const {
+  size_t Connected = connectedCount();
+  // Nobody leaves a share to a host that is not listed until it is heard.
+  if (!Joined || (Connected == 1 && !SelfListed))
+    return 0;
+  return static_cast<double>(Connected) * equalShare();
+}
+
+double SharedLimits::shareOfCapacity(const Bucket &B) const {
+  double Share = share();
+  return Share > 0 ? std::max(capacity(B) * Share, 1.0) : 0;
+}
+
+double SharedLimits::effectiveRate(const Bucket &B) const {
+  double Share = share();
+  double Spare =
+      margin(B) * RatePartOfMargin / inSeconds(Options.Window) * Share;
+  return B.Rate * Share + std::min(B.Rate * (1 - Share), Spare);
+}
+
+int64_t SharedLimits::unacknowledged(const Bucket &B) const {
+  return std::max<int64_t>(B.Used - B.AckedUsed, 0);
+}
+
+double SharedLimits::ownPart(const Bucket &B) const {
+  auto Connected = static_cast<double>(connectedCount());
+  double Level = B.Level + static_cast<double>(unacknowledged(B));
+  double Part = Level / Connected;
+  bool OneEach = Connected <= overshoot(B) || Level >= Connected - overshoot(B);
+  return OneEach ? std::max(Part, 1.0) : Part;
+}
+
+bool SharedLimits::mayTake(const Bucket &B) const {
+  return Joined && Settled && B.Level >= 1 &&
+         (connectedCount() == 1 ||
+          static_cast<double>(unacknowledged(B) + 1) <= ownPart(B));
+}
+
+bool SharedLimits::sharing(MonotonicTime Now) const {
+  return !Stopped &&
+         (SelfListed || (AskedAt && Now - *AskedAt < SharingMemory));
+}
+
+SharedLimits::Bucket *SharedLimits::find(const SharedLimitKey &Key) {
+  auto It = Buckets.find(Key);
+  return It == Buckets.end() || It->second.Rate <= 0 ? nullptr : &It->second;
+}
+
+bool SharedLimits::empty() const {
+  return std::none_of(Buckets.begin(), Buckets.end(),
+                      [](const auto &B) { return B.second.Rate > 0; });
+}
+
+void SharedLimits::setLimit(const SharedLimitKey &Key, double Rate,
+                            double Burst) {
+  auto It = Buckets.find(Key);
+  bool New = It == Buckets.end() || It->second.Rate <= 0;
+  if (New && Rate <= 0)
+    return;
+  // A limit that is removed keeps its count, which others compare with the last
+  // one that they know.
+  Bucket &B = Buckets[Key];
+  B.Rate = std::max(Rate, 0.0);
+  B.Burst = std::max(Burst, 0.0);
+  B.Level = New ? shareOfCapacity(B) : std::min(B.Level, shareOfCapacity(B));
+  for (auto &[Id, P] : Peers)
+    if (New && P.Member && !P.Connected)
+      P.Usage[Key].Withheld = capacity(B) * equalShare();
+}
+
+void SharedLimits::addTokens(Bucket &B, double Tokens) const {
+  B.Level = std::max(std::min(B.Level + Tokens, shareOfCapacity(B)),
+                     std::min(B.Level, B.Level + Tokens));
+}
+
+void SharedLimits::join(MonotonicTime Now) {
+  Joined = true;
+  Settled = false;
+  StartedAt = Now;
+  EarlyReportWanted = true;
+  for (auto &[Id, P] : Peers)
+    P.HasFull = false;
+  for (auto &[Key, B] : Buckets) {
+    B.Level = shareOfCapacity(B);
+    for (auto &[Id, P] : Peers)
+      if (P.Member)
+        P.Usage[Key].Withheld = capacity(B) * equalShare();
+  }
+  updateSettled(Now);
+}
+
+void SharedLimits::updateSettled(MonotonicTime Now) {
+  Settled = Settled || (Joined && (connectedCount() == memberCount() ||
+                                   Now - StartedAt >= ContactTimeout));
+}
+
+void SharedLimits::setHosts(const std::vector<HostId> &Hosts,
+                            MonotonicTime Now) {
+  if (Hosts.empty())
+    return;
+  advance(Now);
+  SelfListed = std::find(Hosts.begin(), Hosts.end(), Self) != Hosts.end();
+  for (const HostId &Host : Hosts)
+    if (Host != Self)
+      Peers[Host].SeenAt = Now;
+  for (auto &[Id, P] : Peers) {
+    bool Listed = P.SeenAt == Now &&
+                  std::find(Hosts.begin(), Hosts.end(), Id) != Hosts.end();
+    // A host that is listed anew may take its share before it is heard.
+    P.Leaving = P.Leaving && (!Listed || P.Listed);
+    P.Listed = Listed;
+  }
+  updateConnections(Now);
+  if (!Joined && sharing(Now))
+    join(Now);
+}
+
+void SharedLimits::withhold(Peer &P) {
+  for (auto &[Key, B] : Buckets) {
+    double Tokens =
+        std::min(capacity(B) * equalShare(), std::max(B.Level, 0.0));
+    B.Level -= Tokens;
+    P.Usage[Key].Withheld = Tokens;
+  }
+}
+
+void SharedLimits::setMember(Peer &P, bool Member, MonotonicTime Now) {
+  if (P.Member == Member)
+    return;
+  P.Member = Member;
+  Members += Member ? 1 : -1;
+  setConnected(P, false);
+  P.AckedSentAt.reset();
+  P.DisconnectedAt = Now;
+  if (Member)
+    withhold(P);
+}
+
+void SharedLimits::setConnected(Peer &P, bool Connected) {
+  if (P.Connected != Connected)
+    Connections += Connected ? 1 : -1;
+  P.Connected = Connected;
+}
+
+void SharedLimits::disconnect(Peer &P, MonotonicTime Now) {
+  setConnected(P, false);
+  P.DisconnectedAt = Now;
+  withhold(P);
+}
+
+void SharedLimits::connect(Peer &P, MonotonicTime Now) {
+  double Away = inSeconds(Now - P.DisconnectedAt);
+  setConnected(P, true);
+  for (auto &[Key, B] : Buckets) {
+    PeerUsage &U = P.Usage[Key];
+    double Used = static_cast<double>(U.Reported - U.Counted);
+    double Refilled = B.Rate * equalShare() * Away;
+    double Returned = std::min(U.Withheld - std::max(Used - Refilled, 0.0),
+                               std::max(U.Level, 0.0));
+    if (Returned >= 0)
+      addTokens(B, Returned);
+    else
+      B.Level = std::max(std::min(B.Level, 0.0), B.Level + Returned);
+    if (!Settled && P.Settled)
+      B.Level = std::min(B.Level, U.Level);
+    U.Counted = U.Reported;
+    U.Withheld = 0;
+  }
+}
+
+void SharedLimits::updateConnections(MonotonicTime Now) {
+  for (auto &[Id, P] : Peers) {
+    bool Member =
+        P.Listed || (!P.Leaving && P.SeenAt && Now - *P.SeenAt < SharingMemory);
+    setMember(P, Member, Now);
+    bool Connected = Member && P.HasFull && Joined && P.AckedSentAt &&
+                     Now - *P.AckedSentAt <= ContactTimeout;
+    if (Connected && !P.Connected)
+      connect(P, Now);
+    else if (!Connected && P.Connected)
+      disconnect(P, Now);
+  }
+  applyAcks();
+  updateSettled(Now);
+}
+
+void SharedLimits::resumeAfterPause(MonotonicTime Now) {
+  for (auto &[Id, P] : Peers) {
+    setConnected(P, false);
+    P.AckedSentAt.reset();
+    P.HasFull = false;
+    P.DisconnectedAt = Now;
+    // The others may have shared the limits until just now.
+    if (P.Member)
+      P.SeenAt = Now;
+  }
+  for (auto &[Key, B] : Buckets) {
+    B.Level = std::min(B.Level, shareOfCapacity(B));
+    for (auto &[Id, P] : Peers)
+      if (P.Member)
+        P.Usage[Key].Withheld = capacity(B) * equalShare();
+  }
+  Settled = false;
+  StartedAt = Now;
+  EarlyReportWanted = true;
+}
+
+void SharedLimits::refill(Duration Elapsed) {
+  for (auto &[Key, B] : Buckets)
+    addTokens(B, effectiveRate(B) * inSeconds(Elapsed));
+}
+
+void SharedLimits::advance(MonotonicTime Now) {
+  Duration Elapsed = AdvancedAt ? Now - *AdvancedAt : Duration(0);
+  if (AdvancedAt && Elapsed < AdvanceInterval)
+    return;
+  AdvancedAt = Now;
+  if (Elapsed > ContactTimeout)
+    resumeAfterPause(Now);
+  updateConnections(Now);
+  if (Elapsed <= ContactTimeout)
+    refill(Elapsed);
+}
+
+bool SharedLimits::admit(const SharedLimitKey &Key, MonotonicTime Now) {
+  Bucket *B = find(Key);
+  if (!B)
+    return true;
+  AskedAt = Now;
+  advance(Now);
+  if (!Joined && sharing(Now))
+    join(Now);
+  if (!mayTake(*B)) {
+    ++B->Refused;
+    EarlyReportWanted = EarlyReportWanted || (Settled && B->Level >= 1);
+    return false;
+  }
+  B->Level -= 1;
+  ++B->Used;
+  EarlyReportWanted =
+      EarlyReportWanted ||
+      (connectedCount() > 1 && unacknowledged(*B) >= EarlyReportTokens &&
+       static_cast<double>(unacknowledged(*B)) * 2 >= ownPart(*B));
+  return true;
+}
+
+void SharedLimits::refund(const SharedLimitKey &Key, MonotonicTime Now) {
+  Bucket *B = find(Key);
+  if (!B)
+    return;
+  advance(Now);
+  addTokens(*B, 1);
+  --B->Used;
+}
+
+Duration SharedLimits::availableIn(const SharedLimitKey &Key,
+                                   MonotonicTime Now) {
+  Bucket *B = find(Key);
+  if (!B)
+    return Duration(0);
+  advance(Now);
+  if (mayTake(*B))
+    return Duration(0);
+  if (!Joined || !Settled || B->Level >= 1)
+    return EarlyReportInterval;
+  double Rate = effectiveRate(*B);
+  return Rate > 0 ? secondsOf((1 - B->Level) / Rate) : ContactTimeout;
+}
+
+Duration SharedLimits::retryAfter(const SharedLimitKey &Key,
+                                  MonotonicTime Now) {
+  MonotonicTime At = Now + availableIn(Key, Now);
+  Bucket *B = find(Key);
+  double Rate = B ? effectiveRate(*B) : 0;
+  if (Rate <= 0)
+    return At - Now;
+  MonotonicTime Promised = std::max(At, B->PromisedUntil);
+  B->PromisedUntil =
+      std::min(Promised + secondsOf(1 / Rate), At + LongestPromise);
+  return Promised - Now;
+}
+
+void SharedLimits::beginReport(MonotonicTime Now) {
+  ++Sequence;
+  SentAt.emplace_back(Sequence, Now);
+  while (Now - SentAt.front().second > 2 * ContactTimeout)
+    SentAt.pop_front();
+  for (auto &[Key, B] : Buckets) {
+    int64_t Last = B.SentUsed.empty() ? B.AckedUsed : B.SentUsed.back().second;
+    if (B.Used != Last)
+      B.SentUsed.emplace_back(Sequence, B.Used);
+  }
+}
+
+SharedUsage SharedLimits::makeReport(const Peer &P, bool WantsReply) const {
+  SharedUsage Out;
+  Out.Sender = Self;
+  Out.Process = Process;
+  Out.Sequence = Sequence;
+  Out.AckedProcess = P.Process;
+  Out.AckedSequence = P.HasFull ? P.HeardSequence : 0;
+  Out.Full = !P.Connected;
+  Out.Settled = Settled;
+  Out.Leaving = !Joined;
+  Out.WantsReply = WantsReply;
+  for (const auto &[Key, B] : Buckets)
+    if (!B.SentUsed.empty() ||
+        (Out.Full && (B.Used != 0 || B.Level < capacity(B))))
+      Out.Usage.push_back({Key, B.Used, B.Level});
+  return Out;
+}
+
+std::vector<AddressedUsage> SharedLimits::makeReports(MonotonicTime Now,
+                                                      bool WantReplies) {
+  beginReport(Now);
+  std::vector<AddressedUsage> Out;
+  for (const auto &[Id, P] : Peers)
+    if (P.Member)
+      Out.push_back({Id, makeReport(P, WantReplies || !P.Connected)});
+  return Out;
+}
+
+bool SharedLimits::earlyReportDue(MonotonicTime Now) const {
+  return earlyReportWanted() && Now - LastReportAt >= EarlyReportInterval;
+}
+
+std::vector<AddressedUsage> SharedLimits::takeReports(MonotonicTime Now) {
+  advance(Now);
+  if (!Joined)
+    return {};
+  bool Leaves = !sharing(Now);
+  if (Leaves) {
+    for (auto &[Id, P] : Peers)
+      setConnected(P, false);
+    Joined = false;
+  }
+  bool WantReplies = EarlyReportWanted && !Leaves;
+  EarlyReportWanted = false;
+  LastReportAt = Now;
+  return makeReports(Now, WantReplies);
+}
+
+std::vector<AddressedUsage> SharedLimits::leave(MonotonicTime Now) {
+  Stopped = true;
+  return takeReports(Now);
+}
+
+bool SharedLimits::accept(Peer &P, const SharedUsage &Report,
+                          MonotonicTime Now) {
+  if (Report.Process != P.Process) {
+    if (Report.Process == P.FormerProcess)
+      return false;
+    if (P.Connected)
+      disconnect(P, Now);
+    P.FormerProcess = P.Process;
+    P.Process = Report.Process;
+    P.HeardSequence = 0;
+    P.AckedSequence = 0;
+    P.AckedSentAt.reset();
+    P.HasFull = false;
+  }
+  if (Report.Sequence <= P.HeardSequence)
+    return false;
+  P.HeardSequence = Report.Sequence;
+  return true;
+}
+
+void SharedLimits::applyUsage(Peer &P, const SharedUsage &Report) {
+  bool First = Report.Full && !P.HasFull;
+  P.HasFull = P.HasFull || Report.Full;
+  P.Settled = Report.Settled;
+  if (First)
+    for (auto &[Key, U] : P.Usage)
+      U.Counted = U.Reported = 0;
+  if (Report.Full)
+    for (auto &[Key, U] : P.Usage)
+      U.Level = std::numeric_limits<double>::infinity();
+  // What a process has used before this host began to count is part of its own
+  // share, unless it has just started.
+  bool FromZero = Settled && !Report.Settled;
+  for (const LimitUsage &Each : Report.Usage) {
+    if (P.Usage.size() >= MaxLimits && !P.Usage.count(Each.Key))
+      continue;
+    auto Known = P.Usage.find(Each.Key);
+    PeerUsage &U = Known == P.Usage.end() ? P.Usage[Each.Key] : Known->second;
+    U.Reported = Each.Used;
+    U.Level = Each.Level;
+    if (First && !FromZero)
+      U.Counted = Each.Used;
+    auto It = Buckets.find(Each.Key);
+    if (!P.Connected)
+      continue;
+    if (It != Buckets.end())
+      addTokens(It->second, static_cast<double>(U.Counted - U.Reported));
+    U.Counted = U.Reported;
+  }
+}
+
+void SharedLimits::recordAck(Peer &P, const SharedUsage &Report) {
+  if (Report.AckedProcess != Process || Report.AckedSequence < P.AckedSequence)
+    return;
+  P.AckedSequence = Report.AckedSequence;
+  auto It = std::lower_bound(
+      SentAt.begin(), SentAt.end(), Report.AckedSequence,
+      [](const auto &Sent, uint64_t Wanted) { return Sent.first < Wanted; });
+  if (It != SentAt.end() && It->first == Report.AckedSequence)
+    P.AckedSentAt = It->second;
+}
+
+void SharedLimits::applyAcks() {
+  uint64_t Acked = UINT64_MAX;
+  for (const auto &[Id, P] : Peers)
+    if (P.Connected)
+      Acked = std::min(Acked, P.AckedSequence);
+  for (auto &[Key, B] : Buckets) {
+    if (Acked == UINT64_MAX)
+      B.AckedUsed = B.Used;
+    while (!B.SentUsed.empty() && B.SentUsed.front().first <= Acked) {
+      B.AckedUsed = B.SentUsed.front().second;
+      B.SentUsed.pop_front();
+    }
+    if (Acked == UINT64_MAX)
+      B.AckedUsed = B.Used;
+  }
+}
+
+std::optional<AddressedUsage>
+SharedLimits::applyReport(const SharedUsage &Report, MonotonicTime Now) {
+  if (Report.Sender.empty() || Report.Sender == Self)
+    return std::nullopt;
+  if (Peers.size() >= MaxPeers && !Peers.count(Report.Sender))
+    return std::nullopt;
+  advance(Now);
+  Peer &P = Peers[Report.Sender];
+  if (!accept(P, Report, Now))
+    return std::nullopt;
+  applyUsage(P, Report);
+  P.Leaving = Report.Leaving;
+  P.SeenAt = Now;
+  recordAck(P, Report);
+  updateConnections(Now);
+  bool AskForReply = !P.Connected && P.Member &&
+                     Now - P.AskedForReplyAt >= EarlyReportInterval;
+  if (!Joined || !(Report.WantsReply || AskForReply))
+    return std::nullopt;
+  if (AskForReply)
+    P.AskedForReplyAt = Now;
+  beginReport(Now);
+  return AddressedUsage{Report.Sender, makeReport(P, AskForReply)};
+}
+
+SharedLimitState SharedLimits::state(const SharedLimitKey &Key,
+                                     MonotonicTime Now) {
+  Bucket *B = find(Key);
+  if (!B)
+    return {};
+  advance(Now);
+  return {B->Level, effectiveRate(*B), B->Used, B->Refused};
+}
+
+std::string SharedLimits::describeDisconnected() const {
+  constexpr size_t MaxNames = 3;
+  std::string Out;
+  size_t Count = 0;
+  for (const auto &[Id, P] : Peers)
+    if (P.Member && !P.Connected && ++Count <= MaxNames)
+      Out += (Out.empty() ? "" : ",") + Id.text();
+  return Out.empty() ? "-" : Out;
+}
+
+} // namespace mimosa
--- /dev/null
+++ b/shared_limit/shared_limits.h
@@ -0,0 +1,238 @@
+// Limits that all hosts share, such as the quota of a team: a replicated token
+// bucket for each limit. See docs/design/shared-limits.md.
+//
+//   SharedLimits Limits(Self, Process, {});
+//   Limits.setLimit(Key, 49, 49);
+//   Limits.setHosts(ServingHosts, Now);
+//   if (!Limits.admit(Key, Now))
+//     refuse(Limits.retryAfter(Key, Now));
+//   for (const AddressedUsage &Out : Limits.takeReports(Now))  // every round
+//     send(Out.To, Out.Report);
+//   if (auto Reply = Limits.applyReport(Received, Now))
+//     send(Reply->To, Reply->Report);
+//
+// Each host takes tokens from its own replica at once and reports this to the
+// other sharing hosts. Until all connected hosts have acknowledged what a host
+// has taken, it takes at most its part of the level, but at least one token. A
+// host is connected to another while the other's acknowledgements are recent.
+// It leaves an equal share of each limit to every host that shares the limits
+// and is not connected, so the sum of all shares stays within the limit on both
+// sides of a partition, and a host that resumes after a freeze has its equal
+// share until others answer.
+//
+// Performs no I/O. Times must come from one clock that also counts the time in
+// which the machine is suspended.
+
+#ifndef MIMOSA_SHARED_LIMIT_SHARED_LIMITS_H
+#define MIMOSA_SHARED_LIMIT_SHARED_LIMITS_H
+
+#include "shared_limit/messages.h"
+
+#include <deque>
+#include <limits>
+#include <map>
+#include <optional>
+#include <unordered_map>
+
+namespace mimosa {
+
+/// The bound on the use of a limit in any window: (rate x Window + burst) x
+/// (1 + Overage) + Slack.
+struct SharedLimitOptions {
+  Duration Window = Seconds(5);
+  double Overage = 0.1;
+  double Slack = 20;
+};
+
+/// Time between two reports.
+constexpr Duration UsageReportInterval = Milliseconds(200);
+/// A host whose acknowledgements are older is not connected. Five rounds, since
+/// event loops of small hosts are late by some 100 ms under load.
+constexpr Duration ContactTimeout = Seconds(1);
+/// A host that is neither listed nor heard of shares the limits for this long.
+/// A host that is cut off may be listed, and serve, for that long.
+constexpr Duration SharingMemory = Seconds(30);
+/// Shortest time between two early reports. One host that has all callers of a
+/// team can take its part of the level once in this time.
+constexpr Duration EarlyReportInterval = Milliseconds(10);
+
+struct AddressedUsage {
+  HostId To;
+  SharedUsage Report;
+};
+
+/// The state of one limit, for metrics.
+struct SharedLimitState {
+  double Level = 0;
+  double Rate = 0;
+  int64_t Used = 0;
+  uint64_t Refused = 0;
+};
+
+class SharedLimits {
+public:
+  SharedLimits(HostId Self, Incarnation Process, SharedLimitOptions Options)
+      : Self(std::move(Self)), Process(Process), Options(Options) {}
+
+  /// Limits \p Key to \p Rate tokens a second, and \p Burst at once. A rate of
+  /// 0 or less removes the limit.
+  void setLimit(const SharedLimitKey &Key, double Rate, double Burst);
+  /// Names the hosts to which callers are sent, with this one if it is among
+  /// them. An empty list is ignored: the last one stays valid while this host
+  /// knows no other.
+  void setHosts(const std::vector<HostId> &Hosts, MonotonicTime Now);
+
+  /// Takes a token. Returns false if there is none; always true for a key
+  /// without a limit.
+  bool admit(const SharedLimitKey &Key, MonotonicTime Now);
+  /// Returns a token whose request has not run.
+  void refund(const SharedLimitKey &Key, MonotonicTime Now);
+  /// Time until admit() is expected to succeed, if no one else asks.
+  Duration availableIn(const SharedLimitKey &Key, MonotonicTime Now);
+  /// As availableIn(), for one more caller: each call within a short time gives
+  /// a later time, so that callers return as tokens do.
+  Duration retryAfter(const SharedLimitKey &Key, MonotonicTime Now);
+
+  /// The reports of a round.
+  std::vector<AddressedUsage> takeReports(MonotonicTime Now);
+  /// Whether takeReports() should be called before the next round, as soon as
+  /// earlyReportDue().
+  bool earlyReportWanted() const { return EarlyReportWanted && Joined; }
+  bool earlyReportDue(MonotonicTime Now) const;
+  /// Applies a report of another host and returns a reply if one is due.
+  std::optional<AddressedUsage> applyReport(const SharedUsage &Report,
+                                            MonotonicTime Now);
+  /// Ends the use of all limits and returns the reports that say so.
+  std::vector<AddressedUsage> leave(MonotonicTime Now);
+
+  /// Whether there is no limit.
+  bool empty() const;
+  /// Hosts that share the limits, including this one, and those of them that
+  /// are connected.
+  size_t sharingHosts() const { return memberCount(); }
+  size_t connectedHosts() const { return connectedCount(); }
+  SharedLimitState state(const SharedLimitKey &Key, MonotonicTime Now);
+  /// Names hosts that share the limits and are not connected, for the log.
+  std::string describeDisconnected() const;
+
+private:
+  struct Bucket {
+    double Rate = 0;
+    double Burst = 0;
+    double Level = 0;
+    int64_t Used = 0;
+    /// What all connected hosts have acknowledged of Used.
+    int64_t AckedUsed = 0;
+    /// Used as of each report that some connected host has not acknowledged.
+    std::deque<std::pair<uint64_t, int64_t>> SentUsed;
+    uint64_t Refused = 0;
+    /// The latest time that retryAfter() has named.
+    MonotonicTime PromisedUntil{};
+  };
+  /// What is known of another host's use of one limit.
+  struct PeerUsage {
+    /// Tokens used as far as they are taken from the own level.
+    int64_t Counted = 0;
+    /// Last reported; differs from Counted while the host is not connected.
+    int64_t Reported = 0;
+    /// The level that it last reported.
+    double Level = std::numeric_limits<double>::infinity();
+    /// Tokens taken from the own level when the connection was lost.
+    double Withheld = 0;
+  };
+  struct Peer {
+    bool Listed = false;
+    bool Leaving = false;
+    bool Connected = false;
+    /// It shares the limits.
+    bool Member = false;
+    bool HasFull = false;
+    bool Settled = false;
+    Incarnation Process;
+    Incarnation FormerProcess;
+    uint64_t HeardSequence = 0;
+    uint64_t AckedSequence = 0;
+    /// When the report that it has acknowledged was sent.
+    std::optional<MonotonicTime> AckedSentAt;
+    /// When it was last listed or heard.
+    std::optional<MonotonicTime> SeenAt;
+    MonotonicTime DisconnectedAt{};
+    /// When a reply was last asked for outside the rounds.
+    MonotonicTime AskedForReplyAt{};
+    std::unordered_map<SharedLimitKey, PeerUsage> Usage;
+  };
+
+  /// The tokens that the rule allows above rate x window + burst.
+  double margin(const Bucket &B) const;
+  double capacity(const Bucket &B) const;
+  /// The part of all limits that this host and those connected to it have.
+  double share() const;
+  double shareOfCapacity(const Bucket &B) const;
+  double effectiveRate(const Bucket &B) const;
+  /// How many unacknowledged tokens this host may have taken.
+  double ownPart(const Bucket &B) const;
+  int64_t unacknowledged(const Bucket &B) const;
+  /// Tokens that hosts may take at the same moment beyond the level.
+  double overshoot(const Bucket &B) const;
+  /// Hosts that share the limits, and those that are connected; with this one.
+  size_t memberCount() const { return 1 + Members; }
+  size_t connectedCount() const { return 1 + Connections; }
+  double equalShare() const { return 1.0 / static_cast<double>(memberCount()); }
+  /// Whether this host may take tokens: it is listed, or had requests lately.
+  bool sharing(MonotonicTime Now) const;
+
+  /// Brings levels and connections up to \p Now.
+  void advance(MonotonicTime Now);
+  void refill(Duration Elapsed);
+  /// Forgets which hosts are connected, after a time in which this process did
+  /// not run. The levels are not refilled for that time.
+  void resumeAfterPause(MonotonicTime Now);
+  void updateConnections(MonotonicTime Now);
+  void setMember(Peer &P, bool Member, MonotonicTime Now);
+  void setConnected(Peer &P, bool Connected);
+  void connect(Peer &P, MonotonicTime Now);
+  void disconnect(Peer &P, MonotonicTime Now);
+  void withhold(Peer &P);
+  void applyAcks();
+  void addTokens(Bucket &B, double Tokens) const;
+  /// Begins to share the limits, again or for the first time.
+  void join(MonotonicTime Now);
+  void updateSettled(MonotonicTime Now);
+  /// Returns false if the report is late or of a former process.
+  bool accept(Peer &P, const SharedUsage &Report, MonotonicTime Now);
+  void applyUsage(Peer &P, const SharedUsage &Report);
+  void recordAck(Peer &P, const SharedUsage &Report);
+  SharedUsage makeReport(const Peer &P, bool WantsReply) const;
+  std::vector<AddressedUsage> makeReports(MonotonicTime Now, bool WantReplies);
+  void beginReport(MonotonicTime Now);
+  Bucket *find(const SharedLimitKey &Key);
+  bool mayTake(const Bucket &B) const;
+
+  HostId Self;
+  Incarnation Process;
+  SharedLimitOptions Options;
+  std::unordered_map<SharedLimitKey, Bucket> Buckets;
+  std::map<HostId, Peer> Peers;
+  /// Numbers of other hosts with Peer::Member and with Peer::Connected.
+  size_t Members = 0;
+  size_t Connections = 0;
+  bool SelfListed = false;
+  /// Reports are sent and tokens are taken.
+  bool Joined = false;
+  /// leave() was called.
+  bool Stopped = false;
+  bool EarlyReportWanted = false;
+  std::optional<MonotonicTime> AdvancedAt;
+  /// When a request last asked for a token.
+  std::optional<MonotonicTime> AskedAt;
+  /// While a host starts or resumes, the levels of the others bound its own.
+  bool Settled = false;
+  MonotonicTime StartedAt{};
+  uint64_t Sequence = 0;
+  MonotonicTime LastReportAt{};
+  std::deque<std::pair<uint64_t, MonotonicTime>> SentAt;
+};
+
+} // namespace mimosa
+
+#endif // MIMOSA_SHARED_LIMIT_SHARED_LIMITS_H
