--- a/shared_limit/messages.h
+++ b/shared_limit/messages.h
@@ -42,6 +42,11 @@
   bool Leaving = false;
   /// The recipient should report at once.
   bool WantsReply = false;
+  /// Number of hosts that the sender counts as sharing the limits.
+  uint32_t SharingHosts = 0;
+  /// The part of all limits that the sender leaves to itself and the hosts
+  /// that it is connected to.
+  double Share = 0;
   std::vector<LimitUsage> Usage;
   MSGPACK_DEFINE_MAP(MSGPACK_NVP("from", Sender), MSGPACK_NVP("run", Process),
                      MSGPACK_NVP("seq", Sequence),
@@ -50,7 +55,8 @@
                      MSGPACK_NVP("full", Full), MSGPACK_NVP("settled", Settled),
                      MSGPACK_NVP("leaving", Leaving),
                      MSGPACK_NVP("reply", WantsReply),
-                     MSGPACK_NVP("usage", Usage));
+                     MSGPACK_NVP("hosts", SharingHosts),
+                     MSGPACK_NVP("share", Share), MSGPACK_NVP("usage", Usage));
 };
 
 } // namespace mimosa
--- a/shared_limit/shared_limits.cpp
+++ b/shared_limit/shared_limits.cpp
@@ -12,6 +12,8 @@
 /// Part of the margin that stands in for the shares of hosts that are not
 /// connected. The rest is left for tokens that are taken at the same moment.
 constexpr double RatePartOfMargin = 0.85;
+/// Part of the margin that a host may use while the others may not know of it.
+constexpr double UnknownPartOfMargin = 0.5;
 /// Requests wait for up to this long between admission and arrival at a backend
 /// server, so that arrivals can be closer together than admissions.
 constexpr Duration AdmissionToArrival = Milliseconds(300);
@@ -49,21 +51,45 @@
   return std::max(Left, 1.0);
 }
 
-double SharedLimits::share() const {
-  size_t Connected = connectedCount();
+double SharedLimits::shareOf(const Peer &P) const {
+  double Own = equalShare();
+  return P.SharingHosts > 0 ? std::max(1.0 / P.SharingHosts, Own) : Own;
+}
+
+double SharedLimits::share(const Bucket &B) const {
+  if (!UnknownUntil)
+    return Share;
+  double Bound = B.Rate * inSeconds(Options.Window) + B.Burst;
+  return std::min(Share,
+                  Bound > 0 ? UnknownPartOfMargin * margin(B) / Bound : 1.0);
+}
+
+void SharedLimits::updateShare(MonotonicTime Now) {
+  if (Connections > 0 || Members == 0 || (UnknownUntil && Now >= *UnknownUntil))
+    UnknownUntil.reset();
+  OwnShare = 0;
+  Share = 0;
   // Nobody leaves a share to a host that is not listed until it is heard.
-  if (!Joined || Forgotten || (Connected == 1 && !SelfListed))
-    return 0;
-  return static_cast<double>(Connected) * equalShare();
+  if (!Joined || forgotten(Now) || (Connections == 0 && !SelfListed))
+    return;
+  OwnShare = 1;
+  for (const auto &[Id, P] : Peers)
+    if (P.Member && !P.Connected)
+      OwnShare -= shareOf(P);
+  OwnShare = std::max(OwnShare, 0.0);
+  Share = OwnShare;
+  for (const auto &[Id, P] : Peers)
+    if (P.Connected)
+      Share = std::min(Share, P.Share);
 }
 
 double SharedLimits::shareOfCapacity(const Bucket &B) const {
-  double Share = share();
+  double Share = share(B);
   return Share > 0 ? std::max(capacity(B) * Share, 1.0) : 0;
 }
 
 double SharedLimits::effectiveRate(const Bucket &B) const {
-  double Share = share();
+  double Share = share(B);
   double Spare =
       margin(B) * RatePartOfMargin / inSeconds(Options.Window) * Share;
   return B.Rate * Share + std::min(B.Rate * (1 - Share), Spare);
@@ -82,7 +108,7 @@
 }
 
 bool SharedLimits::mayTake(const Bucket &B) const {
-  return Joined && Settled && !Forgotten && B.Level >= 1 &&
+  return Joined && Settled && Share > 0 && B.Level >= 1 &&
          (connectedCount() == 1 ||
           static_cast<double>(unacknowledged(B) + 1) <= ownPart(B));
 }
@@ -128,9 +154,11 @@
   Joined = true;
   Settled = false;
   StartedAt = Now;
+  UnknownUntil = Now + SharingMemory;
   EarlyReportWanted = true;
   for (auto &[Id, P] : Peers)
     P.HasFull = false;
+  updateShare(Now);
   for (auto &[Key, B] : Buckets) {
     B.Level = shareOfCapacity(B);
     for (auto &[Id, P] : Peers)
@@ -177,8 +205,11 @@
 }
 
 void SharedLimits::confirmHosts(MonotonicTime Now) {
-  if (SelfListed)
-    ConfirmedAt = Now;
+  if (!SelfListed)
+    return;
+  if (ConfirmedAt && Now - *ConfirmedAt > ListingMemory)
+    UnknownUntil = Now + SharingMemory;
+  ConfirmedAt = Now;
 }
 
 bool SharedLimits::forgotten(MonotonicTime Now) const {
@@ -234,7 +265,7 @@
   for (auto &[Key, B] : Buckets) {
     PeerUsage &U = P.Usage[Key];
     double Used = static_cast<double>(U.Reported - U.Counted);
-    double Refilled = B.Rate * equalShare() * Away;
+    double Refilled = B.Rate * shareOf(P) * Away;
     double Returned = std::min(U.Withheld - std::max(Used - Refilled, 0.0),
                                std::max(U.Level, 0.0));
     if (Returned >= 0)
@@ -260,7 +291,7 @@
     else if (!Connected && P.Connected)
       disconnect(P, Now);
   }
-  Forgotten = forgotten(Now);
+  updateShare(Now);
   applyAcks();
   updateSettled(Now);
 }
@@ -275,6 +306,7 @@
     if (P.Member)
       P.SeenAt = Now;
   }
+  updateShare(Now);
   for (auto &[Key, B] : Buckets) {
     B.Level = std::min(B.Level, shareOfCapacity(B));
     for (auto &[Id, P] : Peers)
@@ -384,6 +416,8 @@
   Out.Settled = Settled;
   Out.Leaving = !Joined;
   Out.WantsReply = WantsReply;
+  Out.SharingHosts = static_cast<uint32_t>(memberCount());
+  Out.Share = OwnShare;
   for (const auto &[Key, B] : Buckets)
     if (!B.SentUsed.empty() ||
         (Out.Full && (B.Used != 0 || B.Level < capacity(B))))
@@ -450,6 +484,8 @@
   bool First = Report.Full && !P.HasFull;
   P.HasFull = P.HasFull || Report.Full;
   P.Settled = Report.Settled;
+  P.SharingHosts = Report.SharingHosts;
+  P.Share = Report.Share;
   if (First)
     for (auto &[Key, U] : P.Usage)
       U.Counted = U.Reported = 0;
--- a/shared_limit/shared_limits.h
+++ b/shared_limit/shared_limits.h
@@ -175,6 +175,9 @@
     Incarnation Process;
     Incarnation FormerProcess;
     uint64_t HeardSequence = 0;
+    /// SharedUsage::SharingHosts and Share of its last report.
+    uint32_t SharingHosts = 0;
+    double Share = 1;
     uint64_t AckedSequence = 0;
     /// When the report that it has acknowledged was sent.
     std::optional<MonotonicTime> AckedSentAt;
@@ -190,7 +193,11 @@
   double margin(const Bucket &B) const;
   double capacity(const Bucket &B) const;
   /// The part of all limits that this host and those connected to it have.
-  double share() const;
+  double share(const Bucket &B) const;
+  void updateShare(MonotonicTime Now);
+  /// The part of all limits that \p P takes while it is not connected. It may
+  /// not know of hosts that have joined since it was last heard.
+  double shareOf(const Peer &P) const;
   double shareOfCapacity(const Bucket &B) const;
   double effectiveRate(const Bucket &B) const;
   /// How many unacknowledged tokens this host may have taken.
@@ -253,8 +260,13 @@
   std::optional<MonotonicTime> AskedAt;
   /// When this host was last known to be listed.
   std::optional<MonotonicTime> ConfirmedAt;
-  /// forgotten() as of AdvancedAt.
-  bool Forgotten = false;
+  /// Others may have stopped to leave a share to this host, and not know that
+  /// it has resumed, until then.
+  std::optional<MonotonicTime> UnknownUntil;
+  /// What this host leaves to itself and those connected to it, and the least
+  /// of what they leave.
+  double OwnShare = 0;
+  double Share = 0;
   /// While a host starts or resumes, the levels of the others bound its own.
   bool Settled = false;
   MonotonicTime StartedAt{};
