Share limits only within groups of hosts that all hear each other

Cause: the model check found that two hosts that are cut off from each other, and in contact with the same third one, each took the whole share of a pair.

Change: reports name the sender's contacts. All hosts choose the same group in which each hears each other; the rest take their equal share.

--- a/shared_limit/messages.h
+++ b/shared_limit/messages.h
@@ -47,16 +47,20 @@
   /// The part of all limits that the sender leaves to itself and the hosts
   /// that it is connected to.
   double Share = 0;
+  /// The sender takes tokens from one level with the recipient, if the
+  /// recipient agrees.
+  bool InGroup = false;
+  /// Sorted hashes of the hosts that the sender is in contact with.
+  std::vector<uint32_t> Contacts;
   std::vector<LimitUsage> Usage;
-  MSGPACK_DEFINE_MAP(MSGPACK_NVP("from", Sender), MSGPACK_NVP("run", Process),
-                     MSGPACK_NVP("seq", Sequence),
-                     MSGPACK_NVP("ack_run", AckedProcess),
-                     MSGPACK_NVP("ack", AckedSequence),
-                     MSGPACK_NVP("full", Full), MSGPACK_NVP("settled", Settled),
-                     MSGPACK_NVP("leaving", Leaving),
-                     MSGPACK_NVP("reply", WantsReply),
-                     MSGPACK_NVP("hosts", SharingHosts),
-                     MSGPACK_NVP("share", Share), MSGPACK_NVP("usage", Usage));
+  MSGPACK_DEFINE_MAP(
+      MSGPACK_NVP("from", Sender), MSGPACK_NVP("run", Process),
+      MSGPACK_NVP("seq", Sequence), MSGPACK_NVP("ack_run", AckedProcess),
+      MSGPACK_NVP("ack", AckedSequence), MSGPACK_NVP("full", Full),
+      MSGPACK_NVP("settled", Settled), MSGPACK_NVP("leaving", Leaving),
+      MSGPACK_NVP("reply", WantsReply), MSGPACK_NVP("hosts", SharingHosts),
+      MSGPACK_NVP("share", Share), MSGPACK_NVP("group", InGroup),
+      MSGPACK_NVP("contacts", Contacts), MSGPACK_NVP("usage", Usage));
 };
 
 } // namespace mimosa
--- a/shared_limit/shared_limits.cpp
+++ b/shared_limit/shared_limits.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <xxhash.h>
 
 namespace mimosa {
 
@@ -14,6 +15,9 @@
 constexpr double RatePartOfMargin = 0.85;
 /// Part of the margin that a host may use while the others may not know of it.
 constexpr double UnknownPartOfMargin = 0.5;
+/// Hosts that lose another one notice it at slightly different times. A group
+/// changes when their reports have differed for this long, three rounds.
+constexpr Duration UnfitTime = Milliseconds(600);
 /// Requests wait for up to this long between admission and arrival at a backend
 /// server, so that arrivals can be closer together than admissions.
 constexpr Duration AdmissionToArrival = Milliseconds(300);
@@ -30,6 +34,10 @@
 /// one.
 constexpr int64_t EarlyReportTokens = 2;
 
+uint32_t hashOf(const HostId &Id) {
+  return XXH32(Id.text().data(), Id.text().size(), 0);
+}
+
 Duration secondsOf(double Value) {
   constexpr double Longest = 3600;
   return Duration(static_cast<int64_t>(std::min(Value, Longest) * 1e6));
@@ -241,6 +249,7 @@
   P.Member = Member;
   Members += Member ? 1 : -1;
   setConnected(P, false);
+  P.InContact = false;
   P.AckedSentAt.reset();
   P.DisconnectedAt = Now;
   if (Member)
@@ -279,18 +288,74 @@
   }
 }
 
-void SharedLimits::updateConnections(MonotonicTime Now) {
+void SharedLimits::updateContacts(MonotonicTime Now) {
   for (auto &[Id, P] : Peers) {
-    bool Member =
-        P.Listed || (!P.Leaving && P.SeenAt && Now - *P.SeenAt < SharingMemory);
+    bool Member = !P.Leaving &&
+                  (P.Listed || (P.SeenAt && Now - *P.SeenAt < SharingMemory));
     setMember(P, Member, Now);
-    bool Connected = Member && P.HasFull && Joined && P.AckedSentAt &&
+    bool InContact = Member && P.HasFull && Joined && P.AckedSentAt &&
                      Now - *P.AckedSentAt <= ContactTimeout;
-    if (Connected && !P.Connected)
-      connect(P, Now);
-    else if (!Connected && P.Connected)
+    GroupChanged = GroupChanged || InContact != P.InContact;
+    P.InContact = InContact;
+    if (P.Connected && !InContact)
       disconnect(P, Now);
   }
+}
+
+std::set<HostId> SharedLimits::chooseGroup() const {
+  struct Candidate {
+    HostId Id;
+    uint32_t Hash;
+    const Peer *State;
+    size_t Degree;
+  };
+  std::vector<Candidate> Candidates = {{Self, hashOf(Self), nullptr, 0}};
+  for (const auto &[Id, P] : Peers)
+    if (P.InContact)
+      Candidates.push_back({Id, hashOf(Id), &P, 0});
+  auto Reports = [](const Candidate &A, const Candidate &B) {
+    return !A.State || std::binary_search(A.State->Contacts.begin(),
+                                          A.State->Contacts.end(), B.Hash);
+  };
+  auto Adjacent = [&](const Candidate &A, const Candidate &B) {
+    return Reports(A, B) && Reports(B, A);
+  };
+  for (Candidate &A : Candidates)
+    for (const Candidate &B : Candidates)
+      A.Degree += A.Id != B.Id && Adjacent(A, B) ? 1 : 0;
+  std::sort(Candidates.begin(), Candidates.end(),
+            [](const Candidate &A, const Candidate &B) {
+              return A.Degree != B.Degree ? A.Degree > B.Degree : A.Id < B.Id;
+            });
+  std::vector<const Candidate *> Group;
+  for (const Candidate &Each : Candidates)
+    if (std::all_of(Group.begin(), Group.end(), [&](const Candidate *Other) {
+          return Adjacent(Each, *Other);
+        }))
+      Group.push_back(&Each);
+  std::set<HostId> Out;
+  for (const Candidate *Each : Group)
+    Out.insert(Each->Id);
+  return Out.count(Self) ? Out : std::set<HostId>{Self};
+}
+
+void SharedLimits::updateConnections(MonotonicTime Now) {
+  updateContacts(Now);
+  if (GroupChanged) {
+    std::set<HostId> Group = chooseGroup();
+    for (auto &[Id, P] : Peers) {
+      P.FitsGroup = Group.count(Id) > 0;
+      bool Fits = P.FitsGroup && P.InGroup;
+      P.UnfitSince = Fits           ? std::nullopt
+                     : P.UnfitSince ? P.UnfitSince
+                                    : std::optional(Now);
+      if (Fits && !P.Connected)
+        connect(P, Now);
+      else if (P.Connected && P.UnfitSince && Now - *P.UnfitSince >= UnfitTime)
+        disconnect(P, Now);
+    }
+    GroupChanged = false;
+  }
   updateShare(Now);
   applyAcks();
   updateSettled(Now);
@@ -299,6 +364,7 @@
 void SharedLimits::resumeAfterPause(MonotonicTime Now) {
   for (auto &[Id, P] : Peers) {
     setConnected(P, false);
+    P.InContact = false;
     P.AckedSentAt.reset();
     P.HasFull = false;
     P.DisconnectedAt = Now;
@@ -418,6 +484,11 @@
   Out.WantsReply = WantsReply;
   Out.SharingHosts = static_cast<uint32_t>(memberCount());
   Out.Share = OwnShare;
+  Out.InGroup = P.FitsGroup;
+  for (const auto &[Id, Other] : Peers)
+    if (Other.InContact)
+      Out.Contacts.push_back(hashOf(Id));
+  std::sort(Out.Contacts.begin(), Out.Contacts.end());
   for (const auto &[Key, B] : Buckets)
     if (!B.SentUsed.empty() ||
         (Out.Full && (B.Used != 0 || B.Level < capacity(B))))
@@ -440,6 +511,8 @@
 }
 
 std::vector<AddressedUsage> SharedLimits::takeReports(MonotonicTime Now) {
+  for (const auto &[Id, P] : Peers)
+    GroupChanged = GroupChanged || (P.Connected && P.UnfitSince);
   advance(Now);
   if (!Joined)
     return {};
@@ -486,6 +559,11 @@
   P.Settled = Report.Settled;
   P.SharingHosts = Report.SharingHosts;
   P.Share = Report.Share;
+  GroupChanged = GroupChanged || P.InGroup != Report.InGroup ||
+                 P.Contacts != Report.Contacts;
+  P.InGroup = Report.InGroup;
+  P.Contacts = Report.Contacts;
+  std::sort(P.Contacts.begin(), P.Contacts.end());
   if (First)
     for (auto &[Key, U] : P.Usage)
       U.Counted = U.Reported = 0;
--- a/shared_limit/shared_limits.h
+++ b/shared_limit/shared_limits.h
@@ -32,6 +32,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace mimosa {
@@ -167,7 +168,15 @@
   struct Peer {
     bool Listed = false;
     bool Leaving = false;
+    /// Its acknowledgements are recent.
+    bool InContact = false;
+    /// In contact, as are all others that are connected: one group takes
+    /// tokens from one level.
     bool Connected = false;
+    /// It belongs to the group as far as this host knows.
+    bool FitsGroup = false;
+    /// Since when it has not fitted into the group.
+    std::optional<MonotonicTime> UnfitSince;
     /// It shares the limits.
     bool Member = false;
     bool HasFull = false;
@@ -178,6 +187,9 @@
     /// SharedUsage::SharingHosts and Share of its last report.
     uint32_t SharingHosts = 0;
     double Share = 1;
+    /// SharedUsage::InGroup and Contacts of its last report.
+    bool InGroup = false;
+    std::vector<uint32_t> Contacts;
     uint64_t AckedSequence = 0;
     /// When the report that it has acknowledged was sent.
     std::optional<MonotonicTime> AckedSentAt;
@@ -219,6 +231,10 @@
   /// not run. The levels are not refilled for that time.
   void resumeAfterPause(MonotonicTime Now);
   void updateConnections(MonotonicTime Now);
+  void updateContacts(MonotonicTime Now);
+  /// The hosts, of which each is in contact with each other, that take tokens
+  /// from one level with this host. All hosts choose alike.
+  std::set<HostId> chooseGroup() const;
   void setMember(Peer &P, bool Member, MonotonicTime Now);
   void setConnected(Peer &P, bool Connected);
   void connect(Peer &P, MonotonicTime Now);
@@ -249,6 +265,8 @@
   /// Numbers of other hosts with Peer::Member and with Peer::Connected.
   size_t Members = 0;
   size_t Connections = 0;
+  /// The group has to be chosen again.
+  bool GroupChanged = false;
   bool SelfListed = false;
   /// Reports are sent and tokens are taken.
   bool Joined = false;
