--- a/shared_limit/shared_limits.cpp
+++ b/shared_limit/shared_limits.cpp
@@ -13,6 +13,9 @@
 /// Part of the margin that stands in for the shares of hosts that are not
 /// connected. The rest is left for tokens that are taken at the same moment.
 constexpr double RatePartOfMargin = 0.85;
+/// Part of an unused burst that stands in for them, too. The rest is left for
+/// changes of the shares: a window may begin with another share.
+constexpr double BurstPartOfBound = 0.5;
 /// Part of the margin that a host may use while the others may not know of it.
 constexpr double UnknownPartOfMargin = 0.5;
 /// Hosts that lose another one notice it at slightly different times. A group
@@ -87,7 +90,7 @@
   OwnShare = std::max(OwnShare, 0.0);
   Share = OwnShare;
   for (const auto &[Id, P] : Peers)
-    if (P.Connected)
+    if (P.Connected && P.Settled)
       Share = std::min(Share, P.Share);
 }
 
@@ -96,13 +99,49 @@
   return Share > 0 ? std::max(capacity(B) * Share, 1.0) : 0;
 }
 
-double SharedLimits::effectiveRate(const Bucket &B) const {
+double SharedLimits::baseRate(const Bucket &B) const {
   double Share = share(B);
   double Spare =
       margin(B) * RatePartOfMargin / inSeconds(Options.Window) * Share;
   return B.Rate * Share + std::min(B.Rate * (1 - Share), Spare);
 }
 
+double SharedLimits::boundOfWindow(const Bucket &B) const {
+  return share(B) * (B.Rate * inSeconds(Options.Window) +
+                     B.Burst * BurstPartOfBound + margin(B) * RatePartOfMargin);
+}
+
+double SharedLimits::roomInWindow(const Bucket &B) const {
+  // Each connected host may be taking a token at this moment.
+  return boundOfWindow(B) - static_cast<double>(B.WindowUse) -
+         static_cast<double>(connectedCount());
+}
+
+double SharedLimits::effectiveRate(const Bucket &B) const {
+  double Base = baseRate(B);
+  if (roomInWindow(B) <= 0)
+    return Base;
+  return std::max(
+      Base, std::min(B.Rate, boundOfWindow(B) / inSeconds(Options.Window)));
+}
+
+void SharedLimits::recordUse(Bucket &B, int64_t Tokens,
+                             MonotonicTime Now) const {
+  Duration SlotTime = Options.Window / (WindowSlots - 1);
+  int64_t Slot = Now.time_since_epoch() / SlotTime;
+  int64_t Expired =
+      std::min<int64_t>(Slot - B.LastSlot, static_cast<int64_t>(WindowSlots));
+  for (int64_t I = 1; I <= Expired; ++I) {
+    int64_t &Oldest =
+        B.SlotUse[static_cast<size_t>(B.LastSlot + I) % WindowSlots];
+    B.WindowUse -= Oldest;
+    Oldest = 0;
+  }
+  B.LastSlot = Slot;
+  B.SlotUse[static_cast<size_t>(Slot) % WindowSlots] += Tokens;
+  B.WindowUse += Tokens;
+}
+
 int64_t SharedLimits::unacknowledged(const Bucket &B) const {
   return std::max<int64_t>(B.Used - B.AckedUsed, 0);
 }
@@ -116,6 +155,8 @@
 }
 
 bool SharedLimits::mayTake(const Bucket &B) const {
+  if (B.BoundUntil > *AdvancedAt && roomInWindow(B) <= 0)
+    return false;
   return Joined && Settled && Share > 0 && B.Level >= 1 &&
          (connectedCount() == 1 ||
           static_cast<double>(unacknowledged(B) + 1) <= ownPart(B));
@@ -283,6 +324,7 @@
       B.Level = std::max(std::min(B.Level, 0.0), B.Level + Returned);
     if (!Settled && P.Settled)
       B.Level = std::min(B.Level, U.Level);
+    recordUse(B, U.Reported - U.Counted, Now);
     U.Counted = U.Reported;
     U.Withheld = 0;
   }
@@ -385,8 +427,13 @@
 }
 
 void SharedLimits::refill(Duration Elapsed) {
-  for (auto &[Key, B] : Buckets)
-    addTokens(B, effectiveRate(B) * inSeconds(Elapsed));
+  for (auto &[Key, B] : Buckets) {
+    recordUse(B, 0, *AdvancedAt);
+    double Rate = effectiveRate(B);
+    if (Rate > baseRate(B))
+      B.BoundUntil = *AdvancedAt + Options.Window;
+    addTokens(B, Rate * inSeconds(Elapsed));
+  }
 }
 
 void SharedLimits::advance(MonotonicTime Now) {
@@ -416,6 +463,7 @@
   }
   B->Level -= 1;
   ++B->Used;
+  recordUse(*B, 1, Now);
   EarlyReportWanted =
       EarlyReportWanted ||
       (connectedCount() > 1 && unacknowledged(*B) >= EarlyReportTokens &&
@@ -430,6 +478,7 @@
   advance(Now);
   addTokens(*B, 1);
   --B->Used;
+  recordUse(*B, -1, Now);
 }
 
 Duration SharedLimits::availableIn(const SharedLimitKey &Key,
@@ -553,7 +602,8 @@
   return true;
 }
 
-void SharedLimits::applyUsage(Peer &P, const SharedUsage &Report) {
+void SharedLimits::applyUsage(Peer &P, const SharedUsage &Report,
+                              MonotonicTime Now) {
   bool First = Report.Full && !P.HasFull;
   P.HasFull = P.HasFull || Report.Full;
   P.Settled = Report.Settled;
@@ -585,8 +635,10 @@
     auto It = Buckets.find(Each.Key);
     if (!P.Connected)
       continue;
-    if (It != Buckets.end())
+    if (It != Buckets.end()) {
       addTokens(It->second, static_cast<double>(U.Counted - U.Reported));
+      recordUse(It->second, U.Reported - U.Counted, Now);
+    }
     U.Counted = U.Reported;
   }
 }
@@ -626,7 +678,7 @@
   Peer &P = Peers[Report.Sender];
   if (!accept(P, Report, Now))
     return std::nullopt;
-  applyUsage(P, Report);
+  applyUsage(P, Report, Now);
   P.Leaving = Report.Leaving;
   P.SeenAt = Now;
   recordAck(P, Report);
--- a/shared_limit/shared_limits.h
+++ b/shared_limit/shared_limits.h
@@ -28,6 +28,7 @@
 
 #include "shared_limit/messages.h"
 
+#include <array>
 #include <deque>
 #include <limits>
 #include <map>
@@ -141,6 +142,9 @@
   uint64_t lastSequence() const { return Sequence; }
 
 private:
+  /// The window of the rule is covered by this many slots, one of them partly.
+  static constexpr size_t WindowSlots = 26;
+
   struct Bucket {
     double Rate = 0;
     double Burst = 0;
@@ -151,6 +155,14 @@
     /// Used as of each report that some connected host has not acknowledged.
     std::deque<std::pair<uint64_t, int64_t>> SentUsed;
     uint64_t Refused = 0;
+    /// Tokens that are known to be used, by slots of the time; the last
+    /// WindowSlots of them cover the window.
+    std::array<int64_t, WindowSlots> SlotUse{};
+    int64_t WindowUse = 0;
+    int64_t LastSlot = 0;
+    /// Until then, tokens may not exceed roomInWindow(), since some were taken
+    /// in place of hosts that are not connected.
+    MonotonicTime BoundUntil{};
     /// The latest time that retryAfter() has named.
     MonotonicTime PromisedUntil{};
   };
@@ -212,6 +224,14 @@
   double shareOf(const Peer &P) const;
   double shareOfCapacity(const Bucket &B) const;
   double effectiveRate(const Bucket &B) const;
+  /// As effectiveRate(), without the room that an unused burst leaves.
+  double baseRate(const Bucket &B) const;
+  /// What the rule allows this host and those connected to it in a window, and
+  /// what is left of it in the current one.
+  double boundOfWindow(const Bucket &B) const;
+  double roomInWindow(const Bucket &B) const;
+  /// Counts tokens that this host or another one has used.
+  void recordUse(Bucket &B, int64_t Tokens, MonotonicTime Now) const;
   /// How many unacknowledged tokens this host may have taken.
   double ownPart(const Bucket &B) const;
   int64_t unacknowledged(const Bucket &B) const;
@@ -249,7 +269,7 @@
   void updateSettled(MonotonicTime Now);
   /// Returns false if the report is late or of a former process.
   bool accept(Peer &P, const SharedUsage &Report, MonotonicTime Now);
-  void applyUsage(Peer &P, const SharedUsage &Report);
+  void applyUsage(Peer &P, const SharedUsage &Report, MonotonicTime Now);
   void recordAck(Peer &P, const SharedUsage &Report);
   SharedUsage makeReport(const Peer &P, bool WantsReply) const;
   std::vector<AddressedUsage> makeReports(MonotonicTime Now, bool WantReplies);
--- a/shared_limit/shared_limits_test.cpp
+++ b/shared_limit/shared_limits_test.cpp
@@ -328,5 +328,82 @@
   std::printf("%s\n", Found.c_str());
 }
 
+// A team that asks for twice its quota, half of it at one of 16 hosts.
+class TeamOnManyHosts : public ::testing::Test {
+protected:
+  static constexpr size_t HostCount = 16;
+  static constexpr double Rate = 48;
+  static constexpr double Burst = 48;
+
+  TeamOnManyHosts() : System(HostCount, Rate, Burst) {
+    run(Seconds(2), 0);
+    run(Seconds(5), 2);
+  }
+
+  /// Runs while the team asks for \p Factor times its rate. From
+  /// \p CheckedAfter on, each window must use .95 of the quota.
+  void run(Duration Time, double Factor,
+           Duration CheckedAfter = Seconds(3600)) {
+    for (Duration Elapsed(0); Elapsed < Time; Elapsed += Tick) {
+      std::vector<size_t> Requests(HostCount);
+      Asked += Factor * Rate * inSeconds(Tick);
+      for (; Asked >= 1; Asked -= 1) {
+        size_t Host = Rng.below(2) ? 0 : Rng.below(HostCount);
+        // Callers use another address if a host does not answer.
+        while (!System.running(Host))
+          Host = Rng.below(HostCount);
+        ++Requests[Host];
+      }
+      System.tick(Requests);
+      ASSERT_LE(System.most(), System.allowed());
+      if (Elapsed >= CheckedAfter)
+        Least = std::min(Least, System.inWindow());
+    }
+  }
+  double leastUse() const {
+    std::printf("least use %.3f, most in a window %zu of %.0f\n",
+                static_cast<double>(Least) / (Rate * 5), System.most(),
+                System.allowed());
+    return static_cast<double>(Least) / (Rate * 5);
+  }
+
+  SeededRandom Rng{16};
+  Deployment<SharedLimits> System;
+  double Asked = 0;
+  size_t Least = SIZE_MAX;
+};
+
+constexpr double MinUse = 0.95;
+
+// Guards against shares that do not follow demand.
+TEST_F(TeamOnManyHosts, UsesItsQuotaFromFewHosts) {
+  run(Seconds(20), 2, Duration(0));
+  EXPECT_GE(leastUse(), MinUse);
+}
+
+// Guards against tokens that are lost with the hosts that had them, or lent
+// again.
+TEST_F(TeamOnManyHosts, UsesItsQuotaThroughARollingRestart) {
+  for (size_t I = 0; I < HostCount; ++I) {
+    System.leave(I);
+    run(Milliseconds(500), 2, Duration(0));
+    System.startHost(I);
+    run(Milliseconds(1000), 2, Duration(0));
+  }
+  EXPECT_GE(leastUse(), MinUse);
+}
+
+// Guards against a share kept over a freeze, and against quotas that lose more
+// than the margin of the rule with three of 16 hosts.
+TEST_F(TeamOnManyHosts, UsesItsQuotaWhileThreeHostsAreFrozen) {
+  for (size_t I = 1; I <= 3; ++I)
+    System.toggleFrozen(I);
+  run(Seconds(10), 2, Duration(0));
+  for (size_t I = 1; I <= 3; ++I)
+    System.toggleFrozen(I);
+  run(Seconds(10), 2, Duration(0));
+  EXPECT_GE(leastUse(), MinUse);
+}
+
 } // namespace
 } // namespace mimosa
