--- a/shared_limit/shared_limits_test.cpp
+++ b/shared_limit/shared_limits_test.cpp
@@ -15,10 +15,13 @@
 namespace {
 
 const SharedLimitKey Team("team/a");
+/// Steps of the model check, and of the load, in which requests arrive one by
+/// one.
 constexpr Duration Tick = Milliseconds(100);
+constexpr Duration FineTick = Milliseconds(10);
 constexpr Duration LeaseTime = Seconds(3);
 constexpr MonotonicTime Start{Seconds(1000)};
-constexpr size_t WindowTicks = Seconds(5) / Tick;
+constexpr Duration Window = Seconds(5);
 
 /// Keeps its share while the others may have stopped to leave it one.
 class SharesKeptOverFreeze : public SharedLimits {
@@ -41,10 +44,10 @@
 
 template <typename Limits> class Deployment {
 public:
-  Deployment(size_t Count, double Rate, double Burst)
+  Deployment(size_t Count, double Rate, double Burst, Duration Step = Tick)
       : Hosts(Count), Links(Count, std::vector<Link>(Count, Link::Works)),
         Delayed(Count, std::vector<std::vector<SharedUsage>>(Count)),
-        Rate(Rate), Burst(Burst) {
+        Rate(Rate), Burst(Burst), Step(Step) {
     for (size_t I = 0; I < Count; ++I)
       startHost(I);
   }
@@ -96,27 +99,27 @@
 
   /// Runs one tick, in which host I is asked for Requests[I] tokens.
   void tick(const std::vector<size_t> &Requests) {
-    Now += Tick;
+    Now += Step;
     showHosts();
     size_t Taken = 0;
-    bool Round = ++Ticks % (UsageReportInterval / Tick) == 0;
+    bool Round = ++Ticks % (UsageReportInterval / Step) == 0;
     // Two halves, so that what a host may take after its report is taken, too.
     for (int Half = 0; Half < 2; ++Half) {
       for (size_t I = 0; I < Hosts.size(); ++I)
         for (size_t N = Half; running(I) && N < Requests[I]; N += 2)
-          if (Hosts[I].Shared->admit(Team, Now + Half * Tick / 2))
+          if (Hosts[I].Shared->admit(Team, Now + Half * Step / 2))
             ++Taken;
           else if (Requests[I] == SIZE_MAX)
             break;
       for (size_t I = 0; I < Hosts.size(); ++I)
         if (running(I) &&
             ((Round && Half == 0) ||
-             Hosts[I].Shared->earlyReportDue(Now + Half * Tick / 2)))
-          send(I, Hosts[I].Shared->takeReports(Now + Half * Tick / 2));
+             Hosts[I].Shared->earlyReportDue(Now + Half * Step / 2)))
+          send(I, Hosts[I].Shared->takeReports(Now + Half * Step / 2));
     }
     Admitted.push_back(Taken);
     InWindow += Taken;
-    if (Admitted.size() > WindowTicks) {
+    if (Admitted.size() > static_cast<size_t>(Window / Step)) {
       InWindow -= Admitted.front();
       Admitted.pop_front();
     }
@@ -192,6 +195,7 @@
   std::vector<std::vector<std::vector<SharedUsage>>> Delayed;
   double Rate;
   double Burst;
+  Duration Step;
   uint64_t Incarnations = 0;
   MonotonicTime Now = Start;
   uint64_t Ticks = 0;
@@ -335,7 +339,7 @@
   static constexpr double Rate = 48;
   static constexpr double Burst = 48;
 
-  TeamOnManyHosts() : System(HostCount, Rate, Burst) {
+  TeamOnManyHosts() : System(HostCount, Rate, Burst, FineTick) {
     run(Seconds(2), 0);
     run(Seconds(5), 2);
   }
@@ -344,9 +348,9 @@
   /// \p CheckedAfter on, each window must use .95 of the quota.
   void run(Duration Time, double Factor,
            Duration CheckedAfter = Seconds(3600)) {
-    for (Duration Elapsed(0); Elapsed < Time; Elapsed += Tick) {
+    for (Duration Elapsed(0); Elapsed < Time; Elapsed += FineTick) {
       std::vector<size_t> Requests(HostCount);
-      Asked += Factor * Rate * inSeconds(Tick);
+      Asked += Factor * Rate * inSeconds(FineTick);
       for (; Asked >= 1; Asked -= 1) {
         size_t Host = Rng.below(2) ? 0 : Rng.below(HostCount);
         // Callers use another address if a host does not answer.
