--- a/shared_limit/shared_limits.cpp
+++ b/shared_limit/shared_limits.cpp
@@ -320,7 +320,9 @@
 void SharedLimits::disconnect(Peer &P, MonotonicTime Now) {
   setConnected(P, false);
   P.DisconnectedAt = Now;
-  withhold(P, ContactTimeout);
+  withhold(P, P.AckedSentAt
+                  ? std::min<Duration>(Now - *P.AckedSentAt, 2 * ContactTimeout)
+                  : ContactTimeout);
 }
 
 void SharedLimits::connect(Peer &P, MonotonicTime Now) {
