--- a/shared_limit/shared_limits.cpp
+++ b/shared_limit/shared_limits.cpp
@@ -1,6 +1,8 @@
 #include "shared_limit/shared_limits.h"
 
 #include <algorithm>
+#include <set>
+#include <xxhash.h>
 
 namespace mimosa {
 
@@ -11,6 +13,14 @@
 /// Part of the margin that stands in for the shares of hosts that are not
 /// connected. The rest is left for tokens that are taken at the same moment.
 constexpr double RatePartOfMargin = 0.85;
+/// Part of an unused burst that stands in for them, too. The rest is left for
+/// changes of the shares: a window may begin with another share.
+constexpr double BurstPartOfBound = 0.5;
+/// Part of the margin that a host may use while the others may not know of it.
+constexpr double UnknownPartOfMargin = 0.5;
+/// Hosts that lose another one notice it at slightly different times. A group
+/// changes when their reports have differed for this long, three rounds.
+constexpr Duration UnfitTime = Milliseconds(600);
 /// Requests wait for up to this long between admission and arrival at a backend
 /// server, so that arrivals can be closer together than admissions.
 constexpr Duration AdmissionToArrival = Milliseconds(300);
@@ -27,6 +37,10 @@
 /// one.
 constexpr int64_t EarlyReportTokens = 2;
 
+uint32_t hashOf(const HostId &Id) {
+  return XXH32(Id.text().data(), Id.text().size(), 0);
+}
+
 Duration secondsOf(double Value) {
   constexpr double Longest = 3600;
   return Duration(static_cast<int64_t>(std::min(Value, Longest) * 1e6));
@@ -48,26 +62,95 @@
   return std::max(Left, 1.0);
 }
 
-double SharedLimits::share() const {
-  size_t Connected = connectedCount();
+double SharedLimits::shareOf(const Peer &P) const {
+  double Own = equalShare();
+  return P.SharingHosts > 0 ? std::max(1.0 / P.SharingHosts, Own) : Own;
+}
+
+double SharedLimits::share(const Bucket &B) const {
+  if (!UnknownUntil)
+    return Share;
+  double Bound = B.Rate * inSeconds(Options.Window) + B.Burst;
+  return std::min(Share,
+                  Bound > 0 ? UnknownPartOfMargin * margin(B) / Bound : 1.0);
+}
+
+void SharedLimits::updateShare(MonotonicTime Now) {
+  if (Connections > 0 || Members == 0 || (UnknownUntil && Now >= *UnknownUntil))
+    UnknownUntil.reset();
+  OwnShare = 0;
+  Share = 0;
   // Nobody leaves a share to a host that is not listed until it is heard.
-  if (!Joined || (Connected == 1 && !SelfListed))
-    return 0;
-  return static_cast<double>(Connected) * equalShare();
+  if (!Joined || forgotten(Now) || (Connections == 0 && !SelfListed))
+    return;
+  OwnShare = 1;
+  for (const auto &[Id, P] : Peers)
+    if (P.Member && !P.Connected)
+      OwnShare -= shareOf(P);
+  OwnShare = std::max(OwnShare, 0.0);
+  Share = OwnShare;
+  for (const auto &[Id, P] : Peers)
+    if (P.Connected && P.Settled)
+      Share = std::min(Share, P.Share);
 }
 
 double SharedLimits::shareOfCapacity(const Bucket &B) const {
-  double Share = share();
+  double Share = share(B);
   return Share > 0 ? std::max(capacity(B) * Share, 1.0) : 0;
 }
 
-double SharedLimits::effectiveRate(const Bucket &B) const {
-  double Share = share();
+double SharedLimits::baseRate(const Bucket &B) const {
+  double Share = share(B);
   double Spare =
       margin(B) * RatePartOfMargin / inSeconds(Options.Window) * Share;
   return B.Rate * Share + std::min(B.Rate * (1 - Share), Spare);
 }
 
+double SharedLimits::boundOfWindow(const Bucket &B) const {
+  return share(B) * (B.Rate * inSeconds(Options.Window) +
+                     B.Burst * BurstPartOfBound + margin(B) * RatePartOfMargin);
+}
+
+double SharedLimits::roomInWindow(const Bucket &B) const {
+  // Each connected host may be taking a token at this moment.
+  return boundOfWindow(B) - static_cast<double>(B.WindowUse) -
+         static_cast<double>(connectedCount()) / 2;
+}
+
+double SharedLimits::effectiveRate(const Bucket &B) const {
+  double Base = baseRate(B);
+  if (roomInWindow(B) <= 0)
+    return Base;
+  return std::max(
+      Base, std::min(B.Rate, boundOfWindow(B) / inSeconds(Options.Window)));
+}
+
+int64_t SharedLimits::usedWithin(const Bucket &B, Duration Time) const {
+  Duration SlotTime = Options.Window / (WindowSlots - 1);
+  auto Slots = std::min<int64_t>(Time / SlotTime + 1, WindowSlots - 1);
+  int64_t Out = 0;
+  for (int64_t I = 0; I <= Slots; ++I)
+    Out += B.SlotUse[static_cast<size_t>(B.LastSlot - I) % WindowSlots];
+  return Out;
+}
+
+void SharedLimits::recordUse(Bucket &B, int64_t Tokens,
+                             MonotonicTime Now) const {
+  Duration SlotTime = Options.Window / (WindowSlots - 1);
+  int64_t Slot = Now.time_since_epoch() / SlotTime;
+  int64_t Expired =
+      std::min<int64_t>(Slot - B.LastSlot, static_cast<int64_t>(WindowSlots));
+  for (int64_t I = 1; I <= Expired; ++I) {
+    int64_t &Oldest =
+        B.SlotUse[static_cast<size_t>(B.LastSlot + I) % WindowSlots];
+    B.WindowUse -= Oldest;
+    Oldest = 0;
+  }
+  B.LastSlot = Slot;
+  B.SlotUse[static_cast<size_t>(Slot) % WindowSlots] += Tokens;
+  B.WindowUse += Tokens;
+}
+
 int64_t SharedLimits::unacknowledged(const Bucket &B) const {
   return std::max<int64_t>(B.Used - B.AckedUsed, 0);
 }
@@ -81,7 +164,9 @@
 }
 
 bool SharedLimits::mayTake(const Bucket &B) const {
-  return Joined && Settled && B.Level >= 1 &&
+  if (B.BoundUntil > *AdvancedAt && roomInWindow(B) <= 0)
+    return false;
+  return Joined && Settled && Share > 0 && B.Level >= 1 &&
          (connectedCount() == 1 ||
           static_cast<double>(unacknowledged(B) + 1) <= ownPart(B));
 }
@@ -127,9 +212,11 @@
   Joined = true;
   Settled = false;
   StartedAt = Now;
+  UnknownUntil = Now + SharingMemory;
   EarlyReportWanted = true;
   for (auto &[Id, P] : Peers)
     P.HasFull = false;
+  updateShare(Now);
   for (auto &[Key, B] : Buckets) {
     B.Level = shareOfCapacity(B);
     for (auto &[Id, P] : Peers)
@@ -150,25 +237,62 @@
     return;
   advance(Now);
   SelfListed = std::find(Hosts.begin(), Hosts.end(), Self) != Hosts.end();
-  for (const HostId &Host : Hosts)
-    if (Host != Self)
-      Peers[Host].SeenAt = Now;
+  std::set<HostId> Named(Hosts.begin(), Hosts.end());
+  Named.erase(Self);
+  for (const HostId &Host : Named)
+    Peers[Host];
   for (auto &[Id, P] : Peers) {
-    bool Listed = P.SeenAt == Now &&
-                  std::find(Hosts.begin(), Hosts.end(), Id) != Hosts.end();
+    bool Listed = Named.count(Id) > 0;
+    if (Listed || P.Listed)
+      P.SeenAt = Now;
     // A host that is listed anew may take its share before it is heard.
     P.Leaving = P.Leaving && (!Listed || P.Listed);
     P.Listed = Listed;
   }
+  confirmHosts(Now);
   updateConnections(Now);
   if (!Joined && sharing(Now))
     join(Now);
 }
 
-void SharedLimits::withhold(Peer &P) {
+void SharedLimits::addSeeds(const std::vector<HostId> &Hosts,
+                            MonotonicTime Now) {
+  for (const HostId &Host : Hosts)
+    if (Host != Self)
+      Peers[Host].SeenAt = Now;
+}
+
+void SharedLimits::confirmHosts(MonotonicTime Now) {
+  if (!SelfListed)
+    return;
+  if (ConfirmedAt && Now - *ConfirmedAt > ListingMemory)
+    UnknownUntil = Now + SharingMemory;
+  ConfirmedAt = Now;
+}
+
+bool SharedLimits::forgotten(MonotonicTime Now) const {
+  return ConfirmedAt && Now - *ConfirmedAt > ListingMemory &&
+         2 * connectedCount() <= memberCount();
+}
+
+std::optional<uint64_t> SharedLimits::acknowledgedSequence() const {
+  std::optional<uint64_t> Out;
+  for (const auto &[Id, P] : Peers)
+    if (P.Connected)
+      Out = std::min(Out.value_or(UINT64_MAX), P.AckedSequence);
+  return Out;
+}
+
+void SharedLimits::withhold(Peer &P, Duration Unheard) {
   for (auto &[Key, B] : Buckets) {
-    double Tokens =
-        std::min(capacity(B) * equalShare(), std::max(B.Level, 0.0));
+    // What it may have taken meanwhile: its part of the level as it was when it
+    // was last heard, and of the refill.
+    double Most = capacity(B) + B.Rate * inSeconds(Unheard);
+    if (Unheard > Duration(0))
+      Most =
+          std::min(Most, B.Level + static_cast<double>(usedWithin(B, Unheard)));
+    double Share = Most * shareOf(P);
+    double Tokens = std::min(Share, std::max(B.Level, 0.0));
     B.Level -= Tokens;
     P.Usage[Key].Withheld = Tokens;
   }
@@ -180,10 +304,11 @@
   P.Member = Member;
   Members += Member ? 1 : -1;
   setConnected(P, false);
+  P.InContact = false;
   P.AckedSentAt.reset();
   P.DisconnectedAt = Now;
   if (Member)
-    withhold(P);
+    withhold(P, Duration(0));
 }
 
 void SharedLimits::setConnected(Peer &P, bool Connected) {
@@ -195,7 +320,9 @@
 void SharedLimits::disconnect(Peer &P, MonotonicTime Now) {
   setConnected(P, false);
   P.DisconnectedAt = Now;
-  withhold(P);
+  withhold(P, P.AckedSentAt
+                  ? std::min<Duration>(Now - *P.AckedSentAt, 2 * ContactTimeout)
+                  : ContactTimeout);
 }
 
 void SharedLimits::connect(Peer &P, MonotonicTime Now) {
@@ -204,7 +331,7 @@
   for (auto &[Key, B] : Buckets) {
     PeerUsage &U = P.Usage[Key];
     double Used = static_cast<double>(U.Reported - U.Counted);
-    double Refilled = B.Rate * equalShare() * Away;
+    double Refilled = B.Rate * shareOf(P) * Away;
     double Returned = std::min(U.Withheld - std::max(Used - Refilled, 0.0),
                                std::max(U.Level, 0.0));
     if (Returned >= 0)
@@ -213,23 +340,82 @@
       B.Level = std::max(std::min(B.Level, 0.0), B.Level + Returned);
     if (!Settled && P.Settled)
       B.Level = std::min(B.Level, U.Level);
+    recordUse(B, U.Reported - U.Counted, Now);
     U.Counted = U.Reported;
     U.Withheld = 0;
   }
 }
 
-void SharedLimits::updateConnections(MonotonicTime Now) {
+void SharedLimits::updateContacts(MonotonicTime Now) {
   for (auto &[Id, P] : Peers) {
-    bool Member =
-        P.Listed || (!P.Leaving && P.SeenAt && Now - *P.SeenAt < SharingMemory);
+    bool Member = !P.Leaving &&
+                  (P.Listed || (P.SeenAt && Now - *P.SeenAt < SharingMemory));
     setMember(P, Member, Now);
-    bool Connected = Member && P.HasFull && Joined && P.AckedSentAt &&
-                     Now - *P.AckedSentAt <= ContactTimeout;
-    if (Connected && !P.Connected)
-      connect(P, Now);
-    else if (!Connected && P.Connected)
+    bool InContact = Member && P.HasFull && Joined && P.AckedSentAt &&
+                     Now - *P.AckedSentAt <= ContactTimeout &&
+                     !(P.AskedSince && Now - *P.AskedSince > ReplyTimeout);
+    GroupChanged = GroupChanged || InContact != P.InContact;
+    P.InContact = InContact;
+    if (P.Connected && !InContact)
       disconnect(P, Now);
   }
+}
+
+std::set<HostId> SharedLimits::chooseGroup() const {
+  struct Candidate {
+    HostId Id;
+    uint32_t Hash;
+    const Peer *State;
+    size_t Degree;
+  };
+  std::vector<Candidate> Candidates = {{Self, hashOf(Self), nullptr, 0}};
+  for (const auto &[Id, P] : Peers)
+    if (P.InContact)
+      Candidates.push_back({Id, hashOf(Id), &P, 0});
+  auto Reports = [](const Candidate &A, const Candidate &B) {
+    return !A.State || std::binary_search(A.State->Contacts.begin(),
+                                          A.State->Contacts.end(), B.Hash);
+  };
+  auto Adjacent = [&](const Candidate &A, const Candidate &B) {
+    return Reports(A, B) && Reports(B, A);
+  };
+  for (Candidate &A : Candidates)
+    for (const Candidate &B : Candidates)
+      A.Degree += A.Id != B.Id && Adjacent(A, B) ? 1 : 0;
+  std::sort(Candidates.begin(), Candidates.end(),
+            [](const Candidate &A, const Candidate &B) {
+              return A.Degree != B.Degree ? A.Degree > B.Degree : A.Id < B.Id;
+            });
+  std::vector<const Candidate *> Group;
+  for (const Candidate &Each : Candidates)
+    if (std::all_of(Group.begin(), Group.end(), [&](const Candidate *Other) {
+          return Adjacent(Each, *Other);
+        }))
+      Group.push_back(&Each);
+  std::set<HostId> Out;
+  for (const Candidate *Each : Group)
+    Out.insert(Each->Id);
+  return Out.count(Self) ? Out : std::set<HostId>{Self};
+}
+
+void SharedLimits::updateConnections(MonotonicTime Now) {
+  updateContacts(Now);
+  if (GroupChanged) {
+    std::set<HostId> Group = chooseGroup();
+    for (auto &[Id, P] : Peers) {
+      P.FitsGroup = Group.count(Id) > 0;
+      bool Fits = P.FitsGroup && P.InGroup;
+      P.UnfitSince = Fits           ? std::nullopt
+                     : P.UnfitSince ? P.UnfitSince
+                                    : std::optional(Now);
+      if (Fits && !P.Connected)
+        connect(P, Now);
+      else if (P.Connected && P.UnfitSince && Now - *P.UnfitSince >= UnfitTime)
+        disconnect(P, Now);
+    }
+    GroupChanged = false;
+  }
+  updateShare(Now);
   applyAcks();
   updateSettled(Now);
 }
@@ -237,6 +423,7 @@
 void SharedLimits::resumeAfterPause(MonotonicTime Now) {
   for (auto &[Id, P] : Peers) {
     setConnected(P, false);
+    P.InContact = false;
     P.AckedSentAt.reset();
     P.HasFull = false;
     P.DisconnectedAt = Now;
@@ -244,6 +431,7 @@
     if (P.Member)
       P.SeenAt = Now;
   }
+  updateShare(Now);
   for (auto &[Key, B] : Buckets) {
     B.Level = std::min(B.Level, shareOfCapacity(B));
     for (auto &[Id, P] : Peers)
@@ -256,8 +444,13 @@
 }
 
 void SharedLimits::refill(Duration Elapsed) {
-  for (auto &[Key, B] : Buckets)
-    addTokens(B, effectiveRate(B) * inSeconds(Elapsed));
+  for (auto &[Key, B] : Buckets) {
+    recordUse(B, 0, *AdvancedAt);
+    double Rate = effectiveRate(B);
+    if (Rate > baseRate(B))
+      B.BoundUntil = *AdvancedAt + Options.Window;
+    addTokens(B, Rate * inSeconds(Elapsed));
+  }
 }
 
 void SharedLimits::advance(MonotonicTime Now) {
@@ -287,6 +480,7 @@
   }
   B->Level -= 1;
   ++B->Used;
+  recordUse(*B, 1, Now);
   EarlyReportWanted =
       EarlyReportWanted ||
       (connectedCount() > 1 && unacknowledged(*B) >= EarlyReportTokens &&
@@ -301,6 +495,7 @@
   advance(Now);
   addTokens(*B, 1);
   --B->Used;
+  recordUse(*B, -1, Now);
 }
 
 Duration SharedLimits::availableIn(const SharedLimitKey &Key,
@@ -342,7 +537,12 @@
   }
 }
 
-SharedUsage SharedLimits::makeReport(const Peer &P, bool WantsReply) const {
+SharedUsage SharedLimits::makeReport(Peer &P, bool WantsReply,
+                                     MonotonicTime Now) const {
+  if (WantsReply && !P.AskedSince) {
+    P.AskedSequence = Sequence;
+    P.AskedSince = Now;
+  }
   SharedUsage Out;
   Out.Sender = Self;
   Out.Process = Process;
@@ -353,6 +553,13 @@
   Out.Settled = Settled;
   Out.Leaving = !Joined;
   Out.WantsReply = WantsReply;
+  Out.SharingHosts = static_cast<uint32_t>(memberCount());
+  Out.Share = OwnShare;
+  Out.InGroup = P.FitsGroup;
+  for (const auto &[Id, Other] : Peers)
+    if (Other.InContact)
+      Out.Contacts.push_back(hashOf(Id));
+  std::sort(Out.Contacts.begin(), Out.Contacts.end());
   for (const auto &[Key, B] : Buckets)
     if (!B.SentUsed.empty() ||
         (Out.Full && (B.Used != 0 || B.Level < capacity(B))))
@@ -364,9 +571,9 @@
                                                       bool WantReplies) {
   beginReport(Now);
   std::vector<AddressedUsage> Out;
-  for (const auto &[Id, P] : Peers)
+  for (auto &[Id, P] : Peers)
     if (P.Member)
-      Out.push_back({Id, makeReport(P, WantReplies || !P.Connected)});
+      Out.push_back({Id, makeReport(P, WantReplies || !P.Connected, Now)});
   return Out;
 }
 
@@ -375,6 +582,8 @@
 }
 
 std::vector<AddressedUsage> SharedLimits::takeReports(MonotonicTime Now) {
+  for (const auto &[Id, P] : Peers)
+    GroupChanged = GroupChanged || (P.Connected && P.UnfitSince);
   advance(Now);
   if (!Joined)
     return {};
@@ -415,10 +624,18 @@
   return true;
 }
 
-void SharedLimits::applyUsage(Peer &P, const SharedUsage &Report) {
+void SharedLimits::applyUsage(Peer &P, const SharedUsage &Report,
+                              MonotonicTime Now) {
   bool First = Report.Full && !P.HasFull;
   P.HasFull = P.HasFull || Report.Full;
   P.Settled = Report.Settled;
+  P.SharingHosts = Report.SharingHosts;
+  P.Share = Report.Share;
+  GroupChanged = GroupChanged || P.InGroup != Report.InGroup ||
+                 P.Contacts != Report.Contacts;
+  P.InGroup = Report.InGroup;
+  P.Contacts = Report.Contacts;
+  std::sort(P.Contacts.begin(), P.Contacts.end());
   if (First)
     for (auto &[Key, U] : P.Usage)
       U.Counted = U.Reported = 0;
@@ -440,8 +657,10 @@
     auto It = Buckets.find(Each.Key);
     if (!P.Connected)
       continue;
-    if (It != Buckets.end())
+    if (It != Buckets.end()) {
       addTokens(It->second, static_cast<double>(U.Counted - U.Reported));
+      recordUse(It->second, U.Reported - U.Counted, Now);
+    }
     U.Counted = U.Reported;
   }
 }
@@ -450,6 +669,8 @@
   if (Report.AckedProcess != Process || Report.AckedSequence < P.AckedSequence)
     return;
   P.AckedSequence = Report.AckedSequence;
+  if (P.AckedSequence >= P.AskedSequence)
+    P.AskedSince.reset();
   auto It = std::lower_bound(
       SentAt.begin(), SentAt.end(), Report.AckedSequence,
       [](const auto &Sent, uint64_t Wanted) { return Sent.first < Wanted; });
@@ -458,18 +679,15 @@
 }
 
 void SharedLimits::applyAcks() {
-  uint64_t Acked = UINT64_MAX;
-  for (const auto &[Id, P] : Peers)
-    if (P.Connected)
-      Acked = std::min(Acked, P.AckedSequence);
+  std::optional<uint64_t> Acked = acknowledgedSequence();
   for (auto &[Key, B] : Buckets) {
-    if (Acked == UINT64_MAX)
-      B.AckedUsed = B.Used;
-    while (!B.SentUsed.empty() && B.SentUsed.front().first <= Acked) {
+    while (!B.SentUsed.empty() &&
+           (!Acked || B.SentUsed.front().first <= *Acked)) {
       B.AckedUsed = B.SentUsed.front().second;
       B.SentUsed.pop_front();
     }
-    if (Acked == UINT64_MAX)
+    // A host that is connected to no other has its share to itself.
+    if (!Acked)
       B.AckedUsed = B.Used;
   }
 }
@@ -484,19 +702,21 @@
   Peer &P = Peers[Report.Sender];
   if (!accept(P, Report, Now))
     return std::nullopt;
-  applyUsage(P, Report);
+  applyUsage(P, Report, Now);
   P.Leaving = Report.Leaving;
   P.SeenAt = Now;
   recordAck(P, Report);
   updateConnections(Now);
   bool AskForReply = !P.Connected && P.Member &&
                      Now - P.AskedForReplyAt >= EarlyReportInterval;
-  if (!Joined || !(Report.WantsReply || AskForReply))
+  // A host that does not share the limits says so.
+  AskForReply = AskForReply && Joined;
+  if (!Report.WantsReply && !AskForReply)
     return std::nullopt;
   if (AskForReply)
     P.AskedForReplyAt = Now;
   beginReport(Now);
-  return AddressedUsage{Report.Sender, makeReport(P, AskForReply)};
+  return AddressedUsage{Report.Sender, makeReport(P, AskForReply, Now)};
 }
 
 SharedLimitState SharedLimits::state(const SharedLimitKey &Key,
--- a/shared_limit/shared_limits.h
+++ b/shared_limit/shared_limits.h
@@ -28,10 +28,12 @@
 
 #include "shared_limit/messages.h"
 
+#include <array>
 #include <deque>
 #include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace mimosa {
@@ -49,9 +51,18 @@
 /// A host whose acknowledgements are older is not connected. Five rounds, since
 /// event loops of small hosts are late by some 100 ms under load.
 constexpr Duration ContactTimeout = Seconds(1);
+/// A host that has been asked for a reply, and has not sent one for this long,
+/// is not connected either. Replies take some milliseconds; asking hosts are
+/// those that need more tokens.
+constexpr Duration ReplyTimeout = Milliseconds(500);
 /// A host that is neither listed nor heard of shares the limits for this long.
 /// A host that is cut off may be listed, and serve, for that long.
 constexpr Duration SharingMemory = Seconds(30);
+/// A host that has not been known to be listed for this long, and is connected
+/// to no majority, takes no tokens: the others may stop to leave it a share
+/// when its entry, which lasts for up to 5.5 s, has been missing for
+/// SharingMemory. They drop it later than it stops.
+constexpr Duration ListingMemory = Seconds(25);
 /// Shortest time between two early reports. One host that has all callers of a
 /// team can take its part of the level once in this time.
 constexpr Duration EarlyReportInterval = Milliseconds(10);
@@ -82,6 +93,13 @@
   /// knows no other.
   void setHosts(const std::vector<HostId> &Hosts, MonotonicTime Now);
 
+  /// Names hosts that may share the limits although they are not listed, since
+  /// they are cut off from the list. They are asked for the time of
+  /// SharingMemory.
+  void addSeeds(const std::vector<HostId> &Hosts, MonotonicTime Now);
+  /// States that the list of hosts was up to date at \p Now.
+  void confirmHosts(MonotonicTime Now);
+
   /// Takes a token. Returns false if there is none; always true for a key
   /// without a limit.
   bool admit(const SharedLimitKey &Key, MonotonicTime Now);
@@ -115,7 +133,22 @@
   /// Names hosts that share the limits and are not connected, for the log.
   std::string describeDisconnected() const;
 
+  virtual ~SharedLimits() = default;
+
+protected:
+  // Tests replace these to show that the model check finds a fault in them.
+
+  /// Whether the others may have stopped to leave this host a share.
+  virtual bool forgotten(MonotonicTime Now) const;
+  /// The newest report that all connected hosts have acknowledged; empty if no
+  /// host is connected.
+  virtual std::optional<uint64_t> acknowledgedSequence() const;
+  uint64_t lastSequence() const { return Sequence; }
+
 private:
+  /// The window of the rule is covered by this many slots, one of them partly.
+  static constexpr size_t WindowSlots = 26;
+
   struct Bucket {
     double Rate = 0;
     double Burst = 0;
@@ -126,6 +159,14 @@
     /// Used as of each report that some connected host has not acknowledged.
     std::deque<std::pair<uint64_t, int64_t>> SentUsed;
     uint64_t Refused = 0;
+    /// Tokens that are known to be used, by slots of the time; the last
+    /// WindowSlots of them cover the window.
+    std::array<int64_t, WindowSlots> SlotUse{};
+    int64_t WindowUse = 0;
+    int64_t LastSlot = 0;
+    /// Until then, tokens may not exceed roomInWindow(), since some were taken
+    /// in place of hosts that are not connected.
+    MonotonicTime BoundUntil{};
     /// The latest time that retryAfter() has named.
     MonotonicTime PromisedUntil{};
   };
@@ -143,7 +184,15 @@
   struct Peer {
     bool Listed = false;
     bool Leaving = false;
+    /// Its acknowledgements are recent.
+    bool InContact = false;
+    /// In contact, as are all others that are connected: one group takes
+    /// tokens from one level.
     bool Connected = false;
+    /// It belongs to the group as far as this host knows.
+    bool FitsGroup = false;
+    /// Since when it has not fitted into the group.
+    std::optional<MonotonicTime> UnfitSince;
     /// It shares the limits.
     bool Member = false;
     bool HasFull = false;
@@ -151,9 +200,19 @@
     Incarnation Process;
     Incarnation FormerProcess;
     uint64_t HeardSequence = 0;
+    /// SharedUsage::SharingHosts and Share of its last report.
+    uint32_t SharingHosts = 0;
+    double Share = 1;
+    /// SharedUsage::InGroup and Contacts of its last report.
+    bool InGroup = false;
+    std::vector<uint32_t> Contacts;
     uint64_t AckedSequence = 0;
     /// When the report that it has acknowledged was sent.
     std::optional<MonotonicTime> AckedSentAt;
+    /// The first report that asked for a reply and is not acknowledged, and
+    /// when it was sent.
+    uint64_t AskedSequence = 0;
+    std::optional<MonotonicTime> AskedSince;
     /// When it was last listed or heard.
     std::optional<MonotonicTime> SeenAt;
     MonotonicTime DisconnectedAt{};
@@ -166,9 +225,24 @@
   double margin(const Bucket &B) const;
   double capacity(const Bucket &B) const;
   /// The part of all limits that this host and those connected to it have.
-  double share() const;
+  double share(const Bucket &B) const;
+  void updateShare(MonotonicTime Now);
+  /// The part of all limits that \p P takes while it is not connected. It may
+  /// not know of hosts that have joined since it was last heard.
+  double shareOf(const Peer &P) const;
   double shareOfCapacity(const Bucket &B) const;
   double effectiveRate(const Bucket &B) const;
+  /// As effectiveRate(), without the room that an unused burst leaves.
+  double baseRate(const Bucket &B) const;
+  /// What the rule allows this host and those connected to it in a window, and
+  /// what is left of it in the current one.
+  double boundOfWindow(const Bucket &B) const;
+  double roomInWindow(const Bucket &B) const;
+  /// Counts tokens that this host or another one has used.
+  void recordUse(Bucket &B, int64_t Tokens, MonotonicTime Now) const;
+  /// Tokens that are known to be used within the last \p Time, or a little
+  /// more.
+  int64_t usedWithin(const Bucket &B, Duration Time) const;
   /// How many unacknowledged tokens this host may have taken.
   double ownPart(const Bucket &B) const;
   int64_t unacknowledged(const Bucket &B) const;
@@ -188,11 +262,17 @@
   /// not run. The levels are not refilled for that time.
   void resumeAfterPause(MonotonicTime Now);
   void updateConnections(MonotonicTime Now);
+  void updateContacts(MonotonicTime Now);
+  /// The hosts, of which each is in contact with each other, that take tokens
+  /// from one level with this host. All hosts choose alike.
+  std::set<HostId> chooseGroup() const;
   void setMember(Peer &P, bool Member, MonotonicTime Now);
   void setConnected(Peer &P, bool Connected);
   void connect(Peer &P, MonotonicTime Now);
   void disconnect(Peer &P, MonotonicTime Now);
-  void withhold(Peer &P);
+  /// Takes the tokens from the levels that \p P may take. It was not heard for
+  /// \p Unheard.
+  void withhold(Peer &P, Duration Unheard);
   void applyAcks();
   void addTokens(Bucket &B, double Tokens) const;
   /// Begins to share the limits, again or for the first time.
@@ -200,9 +280,9 @@
   void updateSettled(MonotonicTime Now);
   /// Returns false if the report is late or of a former process.
   bool accept(Peer &P, const SharedUsage &Report, MonotonicTime Now);
-  void applyUsage(Peer &P, const SharedUsage &Report);
+  void applyUsage(Peer &P, const SharedUsage &Report, MonotonicTime Now);
   void recordAck(Peer &P, const SharedUsage &Report);
-  SharedUsage makeReport(const Peer &P, bool WantsReply) const;
+  SharedUsage makeReport(Peer &P, bool WantsReply, MonotonicTime Now) const;
   std::vector<AddressedUsage> makeReports(MonotonicTime Now, bool WantReplies);
   void beginReport(MonotonicTime Now);
   Bucket *find(const SharedLimitKey &Key);
@@ -216,6 +296,8 @@
   /// Numbers of other hosts with Peer::Member and with Peer::Connected.
   size_t Members = 0;
   size_t Connections = 0;
+  /// The group has to be chosen again.
+  bool GroupChanged = false;
   bool SelfListed = false;
   /// Reports are sent and tokens are taken.
   bool Joined = false;
@@ -225,6 +307,15 @@
   std::optional<MonotonicTime> AdvancedAt;
   /// When a request last asked for a token.
   std::optional<MonotonicTime> AskedAt;
+  /// When this host was last known to be listed.
+  std::optional<MonotonicTime> ConfirmedAt;
+  /// Others may have stopped to leave a share to this host, and not know that
+  /// it has resumed, until then.
+  std::optional<MonotonicTime> UnknownUntil;
+  /// What this host leaves to itself and those connected to it, and the least
+  /// of what they leave.
+  double OwnShare = 0;
+  double Share = 0;
   /// While a host starts or resumes, the levels of the others bound its own.
   bool Settled = false;
   MonotonicTime StartedAt{};
