Limit what the clients of all addresses hold by one budget

Cause: the limits of each address added up to more than the memory and the descriptors of a host, bodies alone were counted, and peers were not limited. A head of 16 KiB with 4,000 short fields took 330 KB to be received and 600 KB to be handled; an unfinished frame of 2 MiB took 4 MB. Change: IngressBudget counts the stack, buffers, parsed fields and their copies, bodies and unread answers of each connection at all five addresses, with a share for each address. Without room, the connection that holds most for longest is closed; requests that run are not. Parsed fields are freed before the handler runs, and the request before its answer is sent.

--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -26,8 +26,14 @@
 /// Part of the memory for long answers that are being received. A string that
 /// grows holds up to three times its length for a moment.
 constexpr size_t AnswerMemoryDivisor = 16;
-/// Part of the memory for callers' bodies.
-constexpr size_t CallerBodyMemoryDivisor = 8;
+/// Part of the memory for all that clients of all addresses send. The other
+/// parts are for answers, queries in progress, the copy of the store, the
+/// program itself, and what the allocator cannot reuse.
+constexpr double IngressMemoryShare = 0.375;
+/// Parts of it that only one address uses. The rest is for all of them.
+constexpr double CallerIngressShare = 0.4;
+constexpr double PeerIngressShare = 0.15;
+constexpr double OtherIngressShare = 0.05;
 /// Connections stay open this much longer than the idle timeout in the
 /// configuration, so that requests sent right after a change of that timeout do
 /// not reach a closed connection.
@@ -56,15 +62,25 @@
     {"mimosa_calls_stopped_total", &CallCounters::StoppedCalls},
 };
 
+IngressAmounts ingressLimit(const EntryOptions &Options) {
+  size_t Connections = Options.MaxDescriptors > 2 * ReservedDescriptors
+                           ? Options.MaxDescriptors - ReservedDescriptors
+                           : Options.MaxDescriptors / 2;
+  return {static_cast<size_t>(static_cast<double>(Options.MemoryBytes) *
+                              IngressMemoryShare),
+          Connections};
+}
+
 } // namespace
 
-HttpServerOptions EntryNode::serverOptions(const std::string &Address) const {
+HttpServerOptions EntryNode::serverOptions(const std::string &Address,
+                                           IngressAddress &Ingress) const {
   HttpServerOptions Out;
   Out.Address = Address;
-  Out.MaxConnections = Options.MaxDescriptors > 2 * ReservedDescriptors
-                           ? Options.MaxDescriptors - ReservedDescriptors
-                           : Options.MaxDescriptors / 2;
-  Out.MaxBodyBytesTotal = Options.MemoryBytes / CallerBodyMemoryDivisor;
+  Out.Ingress = &Ingress;
+  // The budget limits both, over all addresses.
+  Out.MaxConnections = Options.MaxDescriptors;
+  Out.MaxBodyBytesTotal = Options.MemoryBytes;
   return Out;
 }
 
@@ -75,6 +91,12 @@
                       Options.CoreShare * Options.CoreSpeed},
       Monitor(Loop, Metrics), Registry(Options.Zone, Rng),
       AnswerBudget(Options.MemoryBytes / AnswerMemoryDivisor),
+      Ingress(ingressLimit(Options)),
+      CallerIngress(Ingress, CallerIngressShare),
+      ReadyIngress(Ingress, OtherIngressShare),
+      DirectoryIngress(Ingress, OtherIngressShare),
+      PeerIngress(Ingress, PeerIngressShare),
+      MetricsIngress(Ingress, OtherIngressShare),
       ConnectionPool(Loop, Registry, AnswerBudget),
       Scheduler(Registry, ConnectionPool),
       Crashes(Options.PeerAddress, Incarnation(Seed)),
@@ -84,10 +106,15 @@
       Store(Loop, Options.StoreAddress),
       Feed(Loop, Store, Self, Options.Seeds, Options.Relaying, *this),
       Pages(Directory), MetricsHandler(*this),
-      CallerServer(Loop, serverOptions(Options.CallerAddress), Service),
-      ReadyServer(Loop, serverOptions(Options.ReadyAddress), Pages),
-      DirectoryServer(Loop, serverOptions(Options.DirectoryAddress), Pages),
-      PeerFrameServer(Loop, Options.PeerAddress.text(), *this, Traffic) {
+      CallerServer(Loop, serverOptions(Options.CallerAddress, CallerIngress),
+                   Service),
+      ReadyServer(Loop, serverOptions(Options.ReadyAddress, ReadyIngress),
+                  Pages),
+      DirectoryServer(Loop,
+                      serverOptions(Options.DirectoryAddress, DirectoryIngress),
+                      Pages),
+      PeerFrameServer(Loop, Options.PeerAddress.text(), *this, Traffic,
+                      &PeerIngress) {
   ConnectionPool.setScheduler(Scheduler);
   Service.setRevocationLimit(Options.StrictRevocation
                                  ? std::optional(Options.RevocationLimit)
@@ -97,7 +124,8 @@
   Scheduler.onEarlierWakeUp([this] { TimerChanged.set(); });
   if (!Options.MetricsAddress.empty())
     MetricsServer = std::make_unique<HttpServer>(
-        Loop, serverOptions(Options.MetricsAddress), MetricsHandler);
+        Loop, serverOptions(Options.MetricsAddress, MetricsIngress),
+        MetricsHandler);
   applySettings();
   registerGauges();
 }
@@ -136,6 +164,13 @@
         [](Node &N) { return N.Feed.relayCounters().Bytes; });
   Gauge("mimosa_answer_memory_bytes",
         [](Node &N) { return N.AnswerBudget.usedBytes(); });
+  Gauge("mimosa_ingress_bytes", [](Node &N) { return N.Ingress.used().Bytes; });
+  Gauge("mimosa_ingress_connections",
+        [](Node &N) { return N.Ingress.used().Connections; });
+  Gauge("mimosa_ingress_evicted_total",
+        [](Node &N) { return N.Ingress.evictions(); });
+  Gauge("mimosa_ingress_refused_total",
+        [](Node &N) { return N.Ingress.refusals(); });
   Gauge("mimosa_backend_connections",
         [](Node &N) { return N.ConnectionPool.openConnections(); });
   Gauge("mimosa_backend_servers", [](Node &N) { return N.Registry.size(); });
--- a/entry/entry_node.h
+++ b/entry/entry_node.h
@@ -76,7 +76,8 @@
   void startMetricsServer();
   void applySettings();
   void registerGauges();
-  HttpServerOptions serverOptions(const std::string &Address) const;
+  HttpServerOptions serverOptions(const std::string &Address,
+                                  IngressAddress &Ingress) const;
 
   FiberLoop &Loop;
   EntryOptions Options;
@@ -86,6 +87,12 @@
   LoopMonitor Monitor;
   ServerRegistry Registry;
   ReceiveBudget AnswerBudget;
+  IngressBudget Ingress;
+  IngressAddress CallerIngress;
+  IngressAddress ReadyIngress;
+  IngressAddress DirectoryIngress;
+  IngressAddress PeerIngress;
+  IngressAddress MetricsIngress;
   BackendConnectionPool ConnectionPool;
   CallScheduler Scheduler;
   CrashWatch Crashes;
--- a/runtime/http.h
+++ b/runtime/http.h
@@ -15,6 +15,7 @@
 
 #include "base/http_header.h"
 #include "runtime/fiber_loop.h"
+#include "runtime/ingress_budget.h"
 
 #include <cstdint>
 #include <functional>
@@ -108,6 +109,10 @@
   /// Limit on the bodies of all requests together that are being received or
   /// handled; another one is refused with overloaded.
   size_t MaxBodyBytesTotal = 256 << 20;
+  /// Limits the memory and the connections of this server together with those
+  /// of others; must outlive the server. Without it, only the limits above
+  /// apply.
+  IngressAddress *Ingress = nullptr;
   /// A request that is incomplete this long after its first byte is refused
   /// with slow_sender.
   Duration RequestTimeout = Seconds(5);
@@ -128,6 +133,11 @@
   uint64_t SlowSenders = 0;
   /// Requests refused because of HttpServerOptions::MaxBodyBytesTotal.
   uint64_t RefusedBodies = 0;
+  /// Requests and connections ended for lack of room in
+  /// HttpServerOptions::Ingress.
+  uint64_t RefusedForMemory = 0;
+  /// Requests and connections ended by an exception, such as std::bad_alloc.
+  uint64_t Exceptions = 0;
 };
 
 class HttpServer {
--- a/runtime/http_server.cpp
+++ b/runtime/http_server.cpp
@@ -4,12 +4,15 @@
 #include "runtime/receive_budget.h"
 #include "runtime/received_body.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <netinet/tcp.h>
 #include <set>
+#include <string_view>
 #include <sys/socket.h>
+#include <utility>
 
 namespace mimosa {
 
@@ -27,9 +30,30 @@
 constexpr size_t FreeBodyBytes = 4 * 1024;
 /// Seconds within which usual bodies have been received and forwarded.
 constexpr const char *BodiesRetryAfter = "1";
+/// In seconds. Most requests that hold much end within this time.
+constexpr const char *MemoryRetryAfter = "1";
+/// Memory of one header field: 48 bytes and the allocation of its text in the
+/// parser; an HttpHeader, which holds short texts itself, in a request.
+constexpr size_t ParsedFieldBytes = 96;
+constexpr size_t CopiedFieldBytes = 80;
+/// A request in progress holds its body three times: as received, as part of
+/// the request that is forwarded, and encoded for a backend server.
+constexpr size_t BodyCopies = 3;
+/// Budget of a server without HttpServerOptions::Ingress: no limit.
+constexpr IngressAmounts UnlimitedAmounts{size_t(1) << 40, size_t(1) << 40};
 /// In seconds. Callers of a host that shuts down can turn to other hosts.
 constexpr const char *ShutdownRetryAfter = "0.02";
 
+bool isFinalStatus(int Status) { return Status >= 200 && Status <= 599; }
+
+HttpResponse memoryRefusal() {
+  return {503,
+          "application/json",
+          errorBody({ResultCode::Overloaded,
+                     "the requests of all connections hold too much memory"}),
+          {{"Retry-After", MemoryRetryAfter}}};
+}
+
 std::string encodeResponse(const HttpResponse &Response, bool KeepAlive) {
   auto Reason =
       http::obsolete_reason(static_cast<http::status>(Response.Status));
@@ -59,13 +83,18 @@
   Impl(FiberLoop &Loop, HttpServerOptions Options, HttpHandler &Handler)
       : Loop(Loop), Options(std::move(Options)), Handler(Handler),
         Acceptor(Loop.impl().Io),
-        BodyBudget(this->Options.MaxBodyBytesTotal, FreeBodyBytes) {}
+        BodyBudget(this->Options.MaxBodyBytesTotal, FreeBodyBytes),
+        OwnBudget(UnlimitedAmounts), OwnAddress(OwnBudget, 0),
+        Ingress(this->Options.Ingress ? *this->Options.Ingress : OwnAddress) {}
 
   FiberLoop &Loop;
   HttpServerOptions Options;
   HttpHandler &Handler;
   tcp::acceptor Acceptor;
   ReceiveBudget BodyBudget;
+  IngressBudget OwnBudget;
+  IngressAddress OwnAddress;
+  IngressAddress &Ingress;
   HttpServerCounters Counters;
   size_t InFlight = 0;
   bool Draining = false;
@@ -74,6 +103,7 @@
   std::set<HttpServerConnection *> Connections;
 
   void acceptLoop();
+  void startConnection(tcp::socket Socket);
 };
 
 /// A caller's connection, served by a fiber of its own. While a request is
@@ -89,8 +119,11 @@
         Options(Server.Options), Counters(Server.Counters),
         BodyShare(Server.BodyBudget) {}
 
+  /// Takes a part of the memory for the connection; false if there is none.
+  bool openAccount();
   void close();
-  void serve();
+  /// Serves requests until the connection ends.
+  void run();
   /// Lets a wait for bytes look at the state of the server again.
   void wakeUp() { ReadEvent.set(); }
 
@@ -99,6 +132,7 @@
   /// ShuttingDown: nothing more is read, see refuseIncompleteRequests().
   enum class ReadResult { Bytes, Closed, TimedOut, ShuttingDown };
 
+  void serve();
   bool awaitFirstByte();
   bool readRequest(RequestParser &Parser);
   bool parse(RequestParser &Parser, error_code &Failure);
@@ -106,10 +140,25 @@
   bool refuseSlowSender();
   bool refuseBody(RequestParser &Parser);
   bool refuseIncomplete();
+  bool refuseForMemory(RequestParser &Parser);
   void discardInput();
+  /// Called by the budget, within a call by another connection.
+  void evict();
+  /// Accounts for the buffer and \p Bytes more.
+  bool hold(size_t Bytes) {
+    return Account->resize(Buffer.capacity() + Bytes, Loop.now());
+  }
+  /// Number of lines of a head within the first \p Bytes of the buffer.
+  size_t countHeadLines(size_t Bytes) const;
+  /// Accounts for what the parser holds, and for the fields that it makes of
+  /// the bytes in the buffer.
+  bool holdForParser(RequestParser &Parser);
+  bool holdForHandler(const HttpRequest &Request);
+  HttpResponse callHandler(const HttpRequest &Request);
   /// Returns whether the connection can be used for another request.
-  bool respond(const HttpResponse &Response, bool KeepAlive);
-  bool writeAll(const std::string &Bytes);
+  bool respond(HttpResponse Response, bool KeepAlive);
+  /// Releases \p Bytes before it waits for anything else.
+  bool writeAll(std::string Bytes);
   bool handleRequest(RequestParser &Parser);
   void startReadWait();
   /// Waits until \p Deadline for the next bytes and reads them.
@@ -126,6 +175,14 @@
   HttpServerCounters &Counters;
   /// For the body of the request that is being received or handled.
   ReceiveBudget::Share BodyShare;
+  /// Empty before openAccount().
+  std::unique_ptr<IngressAccount> Account;
+  /// Lines of the head that the parser has consumed, and that are in the
+  /// buffer.
+  size_t ParsedLines = 0;
+  size_t BufferedLines = 0;
+  /// Whether a request has begun to arrive and is not handled yet.
+  bool Receiving = false;
   /// When the latest bytes were ready to be read.
   MonotonicTime ReadableAt;
   /// When the first byte of the request was ready to be read, which may be long
@@ -134,6 +191,8 @@
   /// The caller of the latest request, until the next request arrives.
   std::shared_ptr<CallerConnection> LatestCaller;
   bool HandlerRunning = false;
+  /// Whether the request counts in HttpServer::inFlight().
+  bool InFlight = false;
   bool ReadWaitPending = false;
   bool Readable = false;
   bool Closed = false;
@@ -141,6 +200,26 @@
   FiberEvent ReadEvent;
 };
 
+bool HttpServerConnection::openAccount() {
+  Account = IngressAccount::open(
+      Server.Ingress, [this] { evict(); }, Loop.now());
+  return Account != nullptr;
+}
+
+void HttpServerConnection::evict() {
+  ++Counters.RefusedForMemory;
+  logRequest("http", "event=evicted connection=" + std::to_string(Id) +
+                         " receiving=" + (Receiving ? "1" : "0") +
+                         " buffered=" + std::to_string(Buffer.size()));
+  // The memory is needed at once, so the response is sent only as far as the
+  // socket takes it, and may be lost if the caller is still sending.
+  error_code Ignored;
+  if (Receiving)
+    Socket.write_some(asio::buffer(encodeResponse(memoryRefusal(), false)),
+                      Ignored);
+  close();
+}
+
 void HttpServerConnection::close() {
   Closed = true;
   error_code Ignored;
@@ -216,15 +295,26 @@
 }
 
 bool HttpServerConnection::awaitFirstByte() {
+  Receiving = false;
+  if (Buffer.size() == 0) {
+    // Thousands of connections may be idle.
+    Buffer.clear();
+    Buffer.shrink_to_fit();
+  }
+  hold(0);
+  Account->restart(Loop.now());
+  Account->setEvictable(true);
   bool Received =
       Buffer.size() > 0 ||
       readMore(Loop.now() + Options.IdleTimeout) == ReadResult::Bytes;
   LatestCaller.reset();
   ArrivedAt = ReadableAt;
+  Receiving = Received;
+  Account->restart(Loop.now());
   return Received;
 }
 
-bool HttpServerConnection::writeAll(const std::string &Bytes) {
+bool HttpServerConnection::writeAll(std::string Bytes) {
   MonotonicTime Deadline = Loop.now() + Options.UnreachableTimeout;
   size_t Written = 0;
   while (!Closed) {
@@ -242,6 +332,10 @@
                                            : DisconnectReason::Closed);
       return false;
     }
+    // A caller that does not read may be closed if memory is needed.
+    Account->setEvictable(true);
+    if (!hold(Bytes.capacity()))
+      return false;
     auto Writable = std::make_shared<FiberEvent>();
     Socket.async_wait(tcp::socket::wait_write,
                       [Writable](error_code) { Writable->set(); });
@@ -256,9 +350,21 @@
   return false;
 }
 
-bool HttpServerConnection::respond(const HttpResponse &Response,
-                                   bool KeepAlive) {
-  return writeAll(encodeResponse(Response, KeepAlive)) && KeepAlive;
+bool HttpServerConnection::respond(HttpResponse Response, bool KeepAlive) {
+  Receiving = false;
+  // Nothing but 0 and final responses is defined; RFC 9110, 15.
+  if (!isFinalStatus(Response.Status)) {
+    logError("http", "event=undefined_status connection=" + std::to_string(Id) +
+                         " status=" + std::to_string(Response.Status));
+    return respond({502, "application/json",
+                    errorBody({ResultCode::BadBackendReply,
+                               "the answer has an undefined status"})},
+                   KeepAlive);
+  }
+  std::string Bytes = encodeResponse(Response, KeepAlive);
+  // The answer exists only once while it is sent.
+  Response = HttpResponse();
+  return writeAll(std::move(Bytes)) && KeepAlive;
 }
 
 bool HttpServerConnection::refuseSlowSender() {
@@ -293,6 +399,25 @@
   return false;
 }
 
+bool HttpServerConnection::refuseForMemory(RequestParser &Parser) {
+  // The response of an evicted connection has been sent.
+  if (Closed)
+    return false;
+  ++Counters.RefusedForMemory;
+  logRequest("http",
+             "event=refused_for_memory connection=" + std::to_string(Id) +
+                 " fields=" + std::to_string(ParsedLines + BufferedLines) +
+                 " bytes=" + std::to_string(Parser.get().body().size()) +
+                 " all_bytes=" + std::to_string(Server.Ingress.used().Bytes));
+  Parser.release();
+  BodyShare.reset();
+  hold(0);
+  Receiving = false;
+  respond(memoryRefusal(), false);
+  discardInput();
+  return false;
+}
+
 bool HttpServerConnection::refuseIncomplete() {
   respond({503,
            "application/json",
@@ -348,8 +473,34 @@
   }
 }
 
+size_t HttpServerConnection::countHeadLines(size_t Bytes) const {
+  std::string_view Text(static_cast<const char *>(Buffer.data().data()), Bytes);
+  constexpr std::string_view End = "\r\n\r\n";
+  size_t Found = Text.find(End);
+  if (Found != std::string_view::npos)
+    Text = Text.substr(0, Found + End.size());
+  return static_cast<size_t>(std::count(Text.begin(), Text.end(), '\n'));
+}
+
+bool HttpServerConnection::holdForParser(RequestParser &Parser) {
+  BufferedLines = Parser.is_header_done() ? 0 : countHeadLines(Buffer.size());
+  return hold((ParsedLines + BufferedLines) * ParsedFieldBytes +
+              Parser.get().body().capacity());
+}
+
+bool HttpServerConnection::holdForHandler(const HttpRequest &Request) {
+  size_t Text = Request.Target.capacity();
+  for (const HttpHeader &H : Request.Headers)
+    Text += H.Name.size() + H.Value.size();
+  return hold(Request.Headers.capacity() * CopiedFieldBytes + 2 * Text +
+              BodyCopies * Request.Body.capacity());
+}
+
 bool HttpServerConnection::parse(RequestParser &Parser, error_code &Failure) {
+  bool InHead = !Parser.is_header_done();
   size_t Consumed = putBytes(Parser, Buffer.data(), Failure);
+  if (InHead)
+    ParsedLines += countHeadLines(Consumed);
   Buffer.consume(Consumed);
   if (Failure == http::error::need_more)
     Failure = {};
@@ -361,10 +512,15 @@
   Parser.header_limit(static_cast<uint32_t>(Options.MaxHeaderBytes));
   MonotonicTime Deadline = Loop.now() + Options.RequestTimeout;
   ContinueSent = false;
+  ParsedLines = 0;
   while (true) {
     error_code Failure;
-    if (Buffer.size() > 0 && parse(Parser, Failure))
-      return true;
+    if (Buffer.size() > 0) {
+      if (!holdForParser(Parser))
+        return refuseForMemory(Parser);
+      if (parse(Parser, Failure))
+        return true;
+    }
     // Chunk headers and trailers are parsed as a whole, too.
     if (!Failure && Buffer.size() > Options.MaxHeaderBytes)
       Failure = http::error::header_limit;
@@ -372,6 +528,8 @@
       return refuse(Failure);
     if (!BodyShare.resize(Parser.get().body().size()))
       return refuseBody(Parser);
+    if (!holdForParser(Parser))
+      return refuseForMemory(Parser);
     if (Parser.is_header_done() && !ContinueSent &&
         Parser.get().find(http::field::expect) != Parser.get().end()) {
       ContinueSent = true;
@@ -388,41 +546,84 @@
   }
 }
 
+HttpResponse HttpServerConnection::callHandler(const HttpRequest &Request) {
+  try {
+    return Server.Handler.handle(Request, LatestCaller);
+  } catch (const std::exception &E) {
+    // The request may have run.
+    ++Counters.Exceptions;
+    logError("http", "event=handler_failed connection=" + std::to_string(Id) +
+                         " reason=\"" + E.what() + "\"");
+    return {500, "application/json",
+            errorBody({ResultCode::Internal, "the request failed"})};
+  }
+}
+
 bool HttpServerConnection::handleRequest(RequestParser &Parser) {
   auto Message = Parser.release();
   HttpRequest Request;
   Request.Method = std::string(Message.method_string());
   Request.Target = std::string(Message.target());
   Request.ArrivedAt = ArrivedAt;
-  Request.Headers.reserve(12);
+  Request.Headers.reserve(
+      static_cast<size_t>(std::distance(Message.begin(), Message.end())));
   for (const auto &Field : Message)
     Request.Headers.push_back(
         {std::string(Field.name_string()), std::string(Field.value())});
   Request.Body = std::move(Message.body());
   Request.Forwarded = Message.find("mimosa-forwarded") != Message.end();
   Request.ConnectionId = Id;
+  bool WantsKeepAlive = Message.keep_alive();
+  // The fields exist only once while the request runs.
+  Message = decltype(Message)();
+  if (Request.Body.capacity() > 2 * Request.Body.size())
+    Request.Body.shrink_to_fit();
+  if (!holdForHandler(Request)) {
+    Request = HttpRequest();
+    return refuseForMemory(Parser);
+  }
+  Receiving = false;
   ++Counters.Requests;
   ++Server.InFlight;
+  InFlight = true;
   LatestCaller = std::make_shared<CallerConnection>();
   HandlerRunning = true;
+  Account->setEvictable(false);
   startReadWait();
-  HttpResponse Response = Server.Handler.handle(Request, LatestCaller);
+  HttpResponse Response = callHandler(Request);
   HandlerRunning = false;
+  Request = HttpRequest();
+  hold(0);
   // A pipelined request that has been read is served, too.
   bool ServerCloses =
       Server.Draining || (Server.CloseAfterResponses && Buffer.size() == 0);
-  bool KeepAlive = Response.Status != 0 &&
-                   respond(Response, Message.keep_alive() && !Response.Close &&
-                                         !ServerCloses);
+  bool HasAnswer = Response.Status != 0;
+  bool CloseAfter = Response.Close || ServerCloses;
+  bool KeepAlive =
+      HasAnswer && respond(std::move(Response), WantsKeepAlive && !CloseAfter);
   --Server.InFlight;
+  InFlight = false;
   // Bytes that arrived meanwhile would reset the connection.
   error_code Ignored;
-  if (Response.Status != 0 && !KeepAlive && !Closed &&
+  if (HasAnswer && !KeepAlive && !Closed &&
       (Buffer.size() > 0 || Socket.available(Ignored) > 0))
     discardInput();
   return KeepAlive;
 }
 
+void HttpServerConnection::run() {
+  try {
+    serve();
+  } catch (const std::exception &E) {
+    ++Counters.Exceptions;
+    if (std::exchange(InFlight, false))
+      --Server.InFlight;
+    logError("http", "event=connection_failed connection=" +
+                         std::to_string(Id) + " reason=\"" + E.what() + "\"");
+    close();
+  }
+}
+
 void HttpServerConnection::serve() {
   setSocketOptions();
   while (awaitFirstByte()) {
@@ -456,18 +657,31 @@
       ++Counters.RefusedConnections;
       continue;
     }
-    ++Counters.AcceptedConnections;
-    ++Counters.OpenConnections;
-    auto Shared = std::make_shared<tcp::socket>(std::move(Socket));
-    Loop.spawn([Self, Shared, Id = Counters.AcceptedConnections] {
-      auto Connection =
-          std::make_shared<HttpServerConnection>(*Self, std::move(*Shared), Id);
-      Self->Connections.insert(Connection.get());
-      Connection->serve();
-      Self->Connections.erase(Connection.get());
-      --Self->Counters.OpenConnections;
-    });
+    try {
+      startConnection(std::move(Socket));
+    } catch (const std::exception &E) {
+      ++Counters.Exceptions;
+      logError("http",
+               std::string("event=accept_failed reason=\"") + E.what() + "\"");
+    }
+  }
+}
+
+void HttpServer::Impl::startConnection(tcp::socket Socket) {
+  auto Connection = std::make_shared<HttpServerConnection>(
+      *this, std::move(Socket), Counters.AcceptedConnections + 1);
+  if (!Connection->openAccount()) {
+    ++Counters.RefusedConnections;
+    return;
   }
+  Loop.spawn([Self = shared_from_this(), Connection] {
+    Self->Connections.insert(Connection.get());
+    Connection->run();
+    Self->Connections.erase(Connection.get());
+    --Self->Counters.OpenConnections;
+  });
+  ++Counters.AcceptedConnections;
+  ++Counters.OpenConnections;
 }
 
 HttpServer::HttpServer(FiberLoop &Loop, HttpServerOptions Options,
--- a/runtime/peer.h
+++ b/runtime/peer.h
@@ -16,6 +16,7 @@
 
 #include "base/ids.h"
 #include "runtime/fiber_loop.h"
+#include "runtime/ingress_budget.h"
 
 #include <array>
 #include <cstdint>
@@ -98,8 +99,10 @@
 
 class PeerServer {
 public:
+  /// \p Ingress limits what the connections hold, if given; it must outlive the
+  /// server.
   PeerServer(FiberLoop &Loop, std::string Address, PeerHandler &Handler,
-             PeerTraffic &Traffic);
+             PeerTraffic &Traffic, IngressAddress *Ingress = nullptr);
   ~PeerServer();
   /// Starts to listen and to accept connections; fails with BadSetting.
   Result<Done> start();
--- a/runtime/peer_server.cpp
+++ b/runtime/peer_server.cpp
@@ -10,9 +10,9 @@
 
 struct PeerServer::Impl : std::enable_shared_from_this<PeerServer::Impl> {
   Impl(FiberLoop &Loop, std::string Address, PeerHandler &Handler,
-       PeerTraffic &Traffic)
+       PeerTraffic &Traffic, IngressAddress *Ingress)
       : Loop(Loop), Address(std::move(Address)), Handler(Handler),
-        Traffic(Traffic), Acceptor(Loop.impl().Io) {}
+        Traffic(Traffic), Ingress(Ingress), Acceptor(Loop.impl().Io) {}
 
   void acceptLoop();
   void serve(const std::shared_ptr<PeerStream> &Stream);
@@ -21,6 +21,7 @@
   std::string Address;
   PeerHandler &Handler;
   PeerTraffic &Traffic;
+  IngressAddress *Ingress;
   tcp::acceptor Acceptor;
   std::set<std::shared_ptr<PeerStream>> Streams;
   bool Stopped = false;
@@ -55,15 +56,18 @@
       FiberLoop::sleepFor(AcceptRetryDelay);
       continue;
     }
+    if (Ingress && !Stream->openAccount(*Ingress))
+      continue;
     Stream->onConnected();
     Loop.spawn([Self, Stream] { Self->serve(Stream); });
   }
 }
 
 PeerServer::PeerServer(FiberLoop &Loop, std::string Address,
-                       PeerHandler &Handler, PeerTraffic &Traffic)
-    : State(
-          std::make_shared<Impl>(Loop, std::move(Address), Handler, Traffic)) {}
+                       PeerHandler &Handler, PeerTraffic &Traffic,
+                       IngressAddress *Ingress)
+    : State(std::make_shared<Impl>(Loop, std::move(Address), Handler, Traffic,
+                                   Ingress)) {}
 
 PeerServer::~PeerServer() = default;
 
--- a/runtime/peer_stream.cpp
+++ b/runtime/peer_stream.cpp
@@ -1,5 +1,7 @@
 #include "runtime/peer_stream.h"
 
+#include "runtime/log.h"
+
 #include <array>
 #include <boost/endian/conversion.hpp>
 #include <netinet/tcp.h>
@@ -59,6 +61,30 @@
              &UserTimeoutMs, sizeof(UserTimeoutMs));
 }
 
+bool PeerStream::openAccount(IngressAddress &Address) {
+  Account = IngressAccount::open(
+      Address,
+      [this] {
+        logRequest("peers", "event=evicted received=" +
+                                std::to_string(Received.capacity()) +
+                                " queued=" +
+                                std::to_string(QueuedBytes.capacity() +
+                                               WriteBuffer.capacity()));
+        close();
+      },
+      Loop.now());
+  return Account != nullptr;
+}
+
+bool PeerStream::hold() {
+  if (!Account || Account->resize(Received.capacity() + QueuedBytes.capacity() +
+                                      WriteBuffer.capacity(),
+                                  Loop.now()))
+    return true;
+  close();
+  return false;
+}
+
 void PeerStream::write(const PeerFrame &Frame) {
   if (!Open || QueuedBytes.size() > MaxQueuedBytes)
     return;
@@ -68,6 +94,8 @@
   Traffic.BytesSent[Type] += Bytes.size();
   QueuedBytes += Bytes;
   LastUse = Loop.now();
+  if (!hold())
+    return;
   if (FlushScheduled)
     return;
   FlushScheduled = true;
@@ -88,12 +116,12 @@
                         Self->close();
                       Self->WriteBuffer.clear();
                       Self->WriteBuffer.shrink_to_fit();
+                      Self->hold();
                       Self->flush();
                     });
 }
 
 void PeerStream::readFrames(const std::function<void(PeerFrame)> &Handle) {
-  std::string Bytes;
   size_t Begin = 0;
   while (Open) {
     IoOutcome Ready = awaitIo([&](auto Handler) {
@@ -107,19 +135,21 @@
       continue;
     if (Failure)
       break;
-    Bytes.append(readBuffer().data(), Count);
+    Received.append(readBuffer().data(), Count);
     LastUse = Loop.now();
-    while (Open && Bytes.size() - Begin >= LengthBytes) {
-      uint32_t Length = frameLength(Bytes, Begin);
+    if (!hold())
+      break;
+    while (Open && Received.size() - Begin >= LengthBytes) {
+      uint32_t Length = frameLength(Received, Begin);
       if (Length > MaxFrameBytes) {
         ++Traffic.BadFrames;
         close();
         break;
       }
-      if (Bytes.size() - Begin - LengthBytes < Length)
+      if (Received.size() - Begin - LengthBytes < Length)
         break;
       Result<PeerFrame> Frame = decodeFrame(
-          std::string_view(Bytes).substr(Begin + LengthBytes, Length));
+          std::string_view(Received).substr(Begin + LengthBytes, Length));
       Begin += LengthBytes + Length;
       if (!ok(Frame)) {
         ++Traffic.BadFrames;
@@ -129,14 +159,18 @@
       auto Type = static_cast<uint32_t>(valueOf(Frame).Type);
       ++Traffic.FramesReceived[Type];
       Traffic.BytesReceived[Type] += LengthBytes + Length;
+      if (Account)
+        Account->restart(Loop.now());
       Handle(valueOf(std::move(Frame)));
     }
-    Bytes.erase(0, Begin);
+    Received.erase(0, Begin);
     Begin = 0;
-    if (Bytes.empty())
-      Bytes.shrink_to_fit();
+    if (Received.empty())
+      Received.shrink_to_fit();
+    hold();
   }
   close();
+  Received = std::string();
 }
 
 void PeerStream::close() {
--- a/runtime/peer_stream.h
+++ b/runtime/peer_stream.h
@@ -19,6 +19,10 @@
   /// Sets socket options and allows reading and writing. To be called once the
   /// socket is connected.
   void onConnected();
+  /// From now on the stream holds no more memory than the budget of \p Address
+  /// allows, and is closed when it would. Returns false if there is no room for
+  /// it.
+  bool openAccount(IngressAddress &Address);
 
   /// Queues \p Frame, which is written after the current round of the event
   /// loop. Drops it if the connection is closed or its queue is full.
@@ -33,6 +37,8 @@
 
 private:
   void flush();
+  /// Accounts for all buffers; closes the stream if there is no room.
+  bool hold();
 
   FiberLoop &Loop;
   PeerTraffic &Traffic;
@@ -40,6 +46,10 @@
   /// Encoded frames that are not being written yet.
   std::string QueuedBytes;
   std::string WriteBuffer;
+  /// Bytes that were received and are not a complete frame yet.
+  std::string Received;
+  /// Empty for connections that this process has opened.
+  std::unique_ptr<IngressAccount> Account;
   bool FlushScheduled = false;
   bool Open = false;
   MonotonicTime LastUse;
