--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -54,6 +54,47 @@
   FiberEvent Changed;
 };
 
+/// Cancels the calls that an exception leaves behind, because their observer is
+/// destroyed with the request.
+class CallCleanup {
+public:
+  CallCleanup(CallScheduler &Scheduler, CallerConnection &Caller,
+              FiberLoop &Loop)
+      : Scheduler(Scheduler), Caller(Caller), Loop(Loop) {}
+  ~CallCleanup() {
+    callGuarded("call cleanup", [this] {
+      if (Ids.empty())
+        return;
+      Caller.onDisconnect(nullptr);
+      for (CallId Id : Ids)
+        Scheduler.cancel(Id, false, Loop.now());
+    });
+  }
+  CallCleanup(const CallCleanup &) = delete;
+  CallCleanup &operator=(const CallCleanup &) = delete;
+  /// The calls have ended or have been cancelled.
+  void finished() { Ids.clear(); }
+
+  std::vector<CallId> Ids;
+
+private:
+  CallScheduler &Scheduler;
+  CallerConnection &Caller;
+  FiberLoop &Loop;
+};
+
+/// Counts a request while it is served.
+class ScopedCount {
+public:
+  explicit ScopedCount(size_t &Count) : Count(Count) { ++Count; }
+  ~ScopedCount() { --Count; }
+  ScopedCount(const ScopedCount &) = delete;
+  ScopedCount &operator=(const ScopedCount &) = delete;
+
+private:
+  size_t &Count;
+};
+
 /// Describes the unfinished call to one shard for the log.
 std::string describeUnfinished(const ServiceId &Shard,
                                const CallStatus &Status) {
@@ -295,18 +336,13 @@
     return refuse(Context, ResultCode::ShuttingDown, "stopping",
                   StoppingRetryAfter);
   // Counted before the fiber may be suspended: a stop waits for it.
-  ++InFlight;
+  ScopedCount Counted(InFlight);
   if (CallerTeam && Quota) {
-    if (!Quota->admit(CallerTeam->Id, Context.Times.Deadline)) {
-      --InFlight;
+    if (!Quota->admit(CallerTeam->Id, Context.Times.Deadline))
       return refuseOverQuota(Context);
-    }
     Context.Counted = true;
   }
-  HttpResponse Out =
-      MatchedRoute->isGather() ? serveGather(Context) : serveSingle(Context);
-  --InFlight;
-  return Out;
+  return MatchedRoute->isGather() ? serveGather(Context) : serveSingle(Context);
 }
 
 Duration EntryService::availableIn(const RequestContext &Context,
@@ -323,12 +359,16 @@
     return refuse(Context, ResultCode::NoBackend, "no_target",
                   retryAfter(CallReason::Unavailable, Duration(0), Rng));
   SingleObserver Observer;
+  CallCleanup Cleanup(Scheduler, *Context.Caller, Loop);
+  Cleanup.Ids.reserve(1);
   CallId Id =
       Scheduler.begin(makeCallRequest(Context, *Service), Observer, Loop.now());
+  Cleanup.Ids.push_back(Id);
   Context.Caller->onDisconnect(
       [&Observer](DisconnectReason) { Observer.Ended.set(); });
   Observer.Ended.wait();
   Context.Caller->onDisconnect(nullptr);
+  Cleanup.finished();
   if (!Observer.Result) {
     if (!Scheduler.cancel(Id, true, Loop.now()))
       refundQuota(Context);
@@ -406,7 +446,8 @@
                   describeHeldBack(heldBackShards(Context, Now)));
   GatherQuery Query(Context.MatchedRoute, Context.Times);
   GatherObserver Observer(Query);
-  std::vector<CallId> Ids;
+  CallCleanup Cleanup(Scheduler, *Context.Caller, Loop);
+  std::vector<CallId> &Ids = Cleanup.Ids;
   Ids.reserve(Context.MatchedRoute.Shards.size());
   for (const ServiceId &Shard : Context.MatchedRoute.Shards)
     Ids.push_back(
@@ -426,6 +467,7 @@
   std::string Unfinished;
   bool MayHaveRun =
       cancelUnfinished(Context, Ids, &Unfinished) || Query.mayHaveRun();
+  Cleanup.finished();
   recordCrashes(Context, Context.MatchedRoute.Shards.front(),
                 Query.lostAttempts(),
                 Query.missingShards() < Query.totalShards());
--- a/runtime/peer_server.cpp
+++ b/runtime/peer_server.cpp
@@ -10,9 +10,9 @@
 
 struct PeerServer::Impl : std::enable_shared_from_this<PeerServer::Impl> {
   Impl(FiberLoop &Loop, std::string Address, PeerHandler &Handler,
-       PeerTraffic &Traffic)
+       PeerTraffic &Traffic, IngressAddress *Ingress)
       : Loop(Loop), Address(std::move(Address)), Handler(Handler),
-        Traffic(Traffic), Acceptor(Loop.impl().Io) {}
+        Traffic(Traffic), Ingress(Ingress), Acceptor(Loop.impl().Io) {}
 
   void acceptLoop();
   void serve(const std::shared_ptr<PeerStream> &Stream);
@@ -21,6 +21,7 @@
   std::string Address;
   PeerHandler &Handler;
   PeerTraffic &Traffic;
+  IngressAddress *Ingress;
   tcp::acceptor Acceptor;
   std::set<std::shared_ptr<PeerStream>> Streams;
   bool Stopped = false;
@@ -32,7 +33,8 @@
     uint64_t RequestId = Frame.RequestId;
     std::weak_ptr<PeerStream> Weak = Stream;
     bool Supported = Handler.handleFrame(
-        Frame, [Weak, RequestId](MessageType Type, std::string Body) {
+        Frame, [Weak, RequestId, Handled = Stream->countHandled()](
+                   MessageType Type, std::string Body) {
           if (auto Live = Weak.lock())
             Live->write({Type, RequestId, std::move(Body)});
         });
@@ -55,15 +57,18 @@
       FiberLoop::sleepFor(AcceptRetryDelay);
       continue;
     }
+    if (Ingress && !Stream->openAccount(*Ingress))
+      continue;
     Stream->onConnected();
     Loop.spawn([Self, Stream] { Self->serve(Stream); });
   }
 }
 
 PeerServer::PeerServer(FiberLoop &Loop, std::string Address,
-                       PeerHandler &Handler, PeerTraffic &Traffic)
-    : State(
-          std::make_shared<Impl>(Loop, std::move(Address), Handler, Traffic)) {}
+                       PeerHandler &Handler, PeerTraffic &Traffic,
+                       IngressAddress *Ingress)
+    : State(std::make_shared<Impl>(Loop, std::move(Address), Handler, Traffic,
+                                   Ingress)) {}
 
 PeerServer::~PeerServer() = default;
 
@@ -71,7 +76,7 @@
   Result<Done> Listening = listenOn(State->Acceptor, State->Address);
   if (!ok(Listening))
     return Listening;
-  State->Loop.spawn([Shared = State] { Shared->acceptLoop(); });
+  State->Loop.spawnService([Shared = State] { Shared->acceptLoop(); });
   return Done{};
 }
 
