--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -134,6 +134,13 @@
         [](Node &N) { return N.Feed.relayCounters().Replies; });
   Gauge("mimosa_store_cache_reply_bytes_total",
         [](Node &N) { return N.Feed.relayCounters().Bytes; });
+  Gauge("mimosa_store_era", [](Node &N) { return N.Feed.cacheEra().number(); });
+  Gauge("mimosa_store_restores_total",
+        [](Node &N) { return N.Feed.restores(); });
+  Gauge("mimosa_store_corrected_items_total",
+        [](Node &N) { return N.Feed.correctedItems(); });
+  Gauge("mimosa_store_other_zone_calls_total",
+        [](Node &N) { return N.Feed.otherZoneCalls(); });
   Gauge("mimosa_answer_memory_bytes",
         [](Node &N) { return N.AnswerBudget.usedBytes(); });
   Gauge("mimosa_backend_connections",
--- a/runtime/http.h
+++ b/runtime/http.h
@@ -58,7 +58,7 @@
   std::string ContentType = "application/json";
   std::string Body;
   /// Additional headers. If one of them is Content-Type, ContentType is not
-  /// sent.
+  /// sent. In a response that a client received, all headers.
   std::vector<HttpHeader> Headers;
   /// Whether to close the connection after this response.
   bool Close = false;
--- a/runtime/http_client.cpp
+++ b/runtime/http_client.cpp
@@ -98,6 +98,9 @@
     close();
   HttpResponse Response;
   Response.Status = static_cast<int>(Message.result_int());
+  for (const auto &Field : Message.base())
+    Response.Headers.push_back(
+        {std::string(Field.name_string()), std::string(Field.value())});
   Response.Body = std::move(Message.body());
   return Response;
 }
--- a/store_cache/messages.cpp
+++ b/store_cache/messages.cpp
@@ -15,6 +15,7 @@
   StoreCacheReply Out;
   Out.FullListing = Changes.FullListing;
   Out.Revision = Changes.Revision;
+  Out.Era = Changes.Era;
   for (const StoreItem &Item : Changes.Items)
     Out.Items.push_back({Item.Key, Item.Value.has_value(),
                          Item.Value.value_or(std::string()), Item.Revision});
@@ -25,6 +26,7 @@
   StoreChanges Out;
   Out.FullListing = Reply.FullListing;
   Out.Revision = Reply.Revision;
+  Out.Era = Reply.Era;
   for (StoreItemMessage &Item : Reply.Items) {
     StoreItem One{std::move(Item.Key), std::nullopt, Item.Revision};
     if (Item.Present)
--- a/store_cache/messages.h
+++ b/store_cache/messages.h
@@ -16,7 +16,9 @@
   Duration Wait{0};
   /// Whether the reply may have its items in StoreCacheReply::CompressedItems.
   bool AcceptsCompressed = false;
-  MSGPACK_DEFINE_MAP(After, Wait, AcceptsCompressed);
+  /// The era of After; 0 from hosts of earlier versions.
+  StoreEra Era;
+  MSGPACK_DEFINE_MAP(After, Wait, AcceptsCompressed, Era);
 };
 
 /// Time for the reply to arrive after the wait has ended. Then the follower has
@@ -45,6 +47,8 @@
   /// Items is a full listing of the store, see StoreChanges.
   bool FullListing = false;
   StoreRevision Revision;
+  /// The era of all revisions; 0 from hosts of earlier versions.
+  StoreEra Era;
   /// Time since the sender's source recovered from its last failure, 0 while it
   /// fails; negative if it has never failed.
   Duration SinceRecovery{-1};
@@ -55,7 +59,7 @@
   uint64_t ItemBytes = 0;
   MSGPACK_DEFINE_MAP(Fresh, MSGPACK_NVP("Listed", HasListing), Age,
                      MSGPACK_NVP("Whole", FullListing),
-                     MSGPACK_NVP("Upto", Revision), SinceRecovery, Items,
+                     MSGPACK_NVP("Upto", Revision), Era, SinceRecovery, Items,
                      CompressedItems, ItemBytes);
 };
 
--- a/store_cache/source_health.h
+++ b/store_cache/source_health.h
@@ -69,6 +69,14 @@
     HasFailed = true;
     RecoveredAt = std::max(RecoveredAt.value_or(At), At);
   }
+  /// Records that the store was restored from an older copy: entries that are
+  /// missing may be written again, as after an outage that ends at \p Now.
+  void recordRestore(MonotonicTime Now) {
+    HasFailed = true;
+    RecoveredAt = Now;
+    OutageEndedAt = Now;
+    shortenWatches();
+  }
   /// Makes the next watches wait briefly, since they may miss changes.
   void shortenWatches() { Wait = ShortestWait; }
 
--- a/store_cache/store_cache.cpp
+++ b/store_cache/store_cache.cpp
@@ -47,7 +47,13 @@
 
 std::vector<StoreItem>
 StoreCache::applyListing(const std::vector<StoreItem> &Listing,
-                         StoreRevision ListingRevision) {
+                         StoreRevision ListingRevision, StoreEra ListingEra) {
+  if (ListingEra < Era)
+    return {};
+  if (Era < ListingEra) {
+    Era = ListingEra;
+    return replaceBy(Listing, ListingRevision);
+  }
   // A listing does not tell when items were removed, so that the log can only
   // start after it.
   LogStart = std::max(LogStart, ListingRevision);
@@ -74,9 +80,34 @@
   return ChangedItems;
 }
 
+std::vector<StoreItem>
+StoreCache::replaceBy(const std::vector<StoreItem> &Listing,
+                      StoreRevision ListingRevision) {
+  std::map<std::string, StoreItem> Former = std::move(Items);
+  Items.clear();
+  Log.clear();
+  LogBytes = 0;
+  // Revisions are reused, so they may be lower than before.
+  LogStart = ListingRevision;
+  Revision = ListingRevision;
+  HasListing = true;
+  std::vector<StoreItem> ChangedItems;
+  for (const StoreItem &Item : Listing) {
+    applyChange(Item);
+    auto Found = Former.find(Item.Key);
+    if (Found == Former.end() || Found->second.Value != Item.Value)
+      ChangedItems.push_back(Item);
+  }
+  for (const auto &[Key, Item] : Former)
+    if (!Items.count(Key))
+      ChangedItems.push_back({Key, std::nullopt, ListingRevision});
+  return ChangedItems;
+}
+
 StoreChanges StoreCache::changesSince(StoreRevision After) const {
   StoreChanges Out;
   Out.Revision = Revision;
+  Out.Era = Era;
   if (After < LogStart || After == StoreRevision()) {
     Out.FullListing = true;
     for (const auto &[Key, Item] : Items)
--- a/store_cache/store_cache_relay.cpp
+++ b/store_cache/store_cache_relay.cpp
@@ -7,7 +7,8 @@
 namespace mimosa {
 
 namespace {
-/// Hosts that a follower tries before it follows the store.
+/// Hosts that a follower tries before it follows the store, and hosts of each
+/// other zone that it tries after the store.
 constexpr size_t MaxLeaders = 2;
 /// A leader that failed is tried again after this time.
 constexpr Duration LeaderRetryDelay = Seconds(4);
@@ -25,21 +26,39 @@
   bool OwnListed = std::any_of(
       Listed.begin(), Listed.end(),
       [this](const LeaderCandidate &Host) { return Host.Name == OwnName; });
-  for (LeaderCandidate &Host : Listed)
-    if (Host.Zone == OwnZone && (Host.Name < OwnName || !OwnListed))
-      Candidates.push_back(std::move(Host));
-  std::sort(Candidates.begin(), Candidates.end(),
+  std::sort(Listed.begin(), Listed.end(),
             [](const LeaderCandidate &A, const LeaderCandidate &B) {
               return A.Name < B.Name;
             });
+  OtherZones.clear();
+  std::map<AvailabilityZoneId, size_t> HostsOfZone;
+  for (LeaderCandidate &Host : Listed) {
+    if (Host.Zone != OwnZone) {
+      if (HostsOfZone[Host.Zone]++ < MaxLeaders)
+        OtherZones.push_back(std::move(Host));
+    } else if (Host.Name < OwnName || !OwnListed) {
+      Candidates.push_back(std::move(Host));
+    }
+  }
+}
+
+bool LeaderSelector::mayAsk(const HostId &Host, MonotonicTime Now) const {
+  auto Failed = FailedAt.find(Host);
+  return Failed == FailedAt.end() || Now - Failed->second >= LeaderRetryDelay;
 }
 
 std::optional<HostId> LeaderSelector::leader(MonotonicTime Now) const {
-  for (size_t I = 0; I < Candidates.size() && I < MaxLeaders; ++I) {
-    auto Failed = FailedAt.find(Candidates[I].Address);
-    if (Failed == FailedAt.end() || Now - Failed->second >= LeaderRetryDelay)
+  for (size_t I = 0; I < Candidates.size() && I < MaxLeaders; ++I)
+    if (mayAsk(Candidates[I].Address, Now))
       return Candidates[I].Address;
-  }
+  return std::nullopt;
+}
+
+std::optional<HostId>
+LeaderSelector::hostOfOtherZone(MonotonicTime Now) const {
+  for (const LeaderCandidate &Host : OtherZones)
+    if (mayAsk(Host.Address, Now))
+      return Host.Address;
   return std::nullopt;
 }
 
@@ -65,9 +84,7 @@
 StoreCacheReply StoreCacheRelay::makeReplyFor(const PendingRequest &Request) {
   StoreCacheReply Out;
   if (Cache.hasListing() && Request.AcceptsCompressed) {
-    if (CompressedAt != Cache.revision())
-      Compressed.clear();
-    CompressedAt = Cache.revision();
+    refreshCompressed();
     auto [Found, IsNew] = Compressed.try_emplace(Request.After);
     if (IsNew) {
       Found->second = makeReply(Cache.changesSince(Request.After));
@@ -85,6 +102,13 @@
   return Out;
 }
 
+void StoreCacheRelay::refreshCompressed() {
+  auto At = std::make_pair(Cache.era(), Cache.revision());
+  if (CompressedAt != At)
+    Compressed.clear();
+  CompressedAt = At;
+}
+
 void StoreCacheRelay::reply(const PendingRequest &Request) {
   std::string Body = packBody(makeReplyFor(Request));
   ++Counters.Replies;
@@ -128,6 +152,15 @@
   Logged = Counters;
 }
 
+void StoreCacheRelay::listingReplaced() {
+  // Revisions of the former era say nothing about the new one.
+  for (PendingRequest &Request : Pending)
+    Request.After = StoreRevision();
+  for (PendingRequest &Request : Queued)
+    Request.After = StoreRevision();
+  replyToAll();
+}
+
 void StoreCacheRelay::replyToAll() {
   std::vector<PendingRequest> Due = std::move(Pending);
   Pending.clear();
@@ -157,8 +190,13 @@
     return true;
   }
   const StoreCacheRequest &Request = valueOf(Decoded);
-  bool HasUpdate = Cache.revision() > Request.After || !fresh();
-  PendingRequest New{Request.After, Loop.now() + Request.Wait,
+  // A follower of an older era needs a full listing; one of a newer era gets a
+  // reply that shows it the older era. One that states no era may be of an
+  // earlier version, and would ask for listings again and again.
+  bool SameHistory = Request.Era == Cache.era() || Request.Era == StoreEra();
+  StoreRevision After = SameHistory ? Request.After : StoreRevision();
+  bool HasUpdate = Cache.revision() > After || !fresh();
+  PendingRequest New{After, Loop.now() + Request.Wait,
                      Request.AcceptsCompressed, std::move(Reply)};
   if (HasUpdate || Request.Wait <= Duration(0))
     enqueue(std::move(New));
--- a/store_cache/store_cache_relay.h
+++ b/store_cache/store_cache_relay.h
@@ -9,9 +9,10 @@
 // more slowly than the fleet. In each zone one host, the leader, therefore
 // follows the store, and the other hosts follow the leader. The leader is the
 // first listed host of the zone by name. If it does not answer, a host follows
-// the next one, and if MaxLeaders hosts have failed, the store. A leader that
-// cannot reach the store reports its cache as stale, and its followers turn to
-// another source.
+// the next one, and if MaxLeaders hosts have failed, the store. If the store
+// fails too, since it turns this host away, the last source are the first hosts
+// of the other zones. A leader that cannot reach the store reports its cache as
+// stale, and its followers turn to another source.
 //
 // Replies with changes are compressed and sent one after another at a share of
 // the link. If all were sent at once, each would arrive late, after its
@@ -45,16 +46,24 @@
   void setHosts(std::vector<LeaderCandidate> Listed);
   /// The host to follow; empty if this host has to follow the store.
   std::optional<HostId> leader(MonotonicTime Now) const;
+  /// The host of another zone to ask if the store fails, too; empty if all have
+  /// failed in the last seconds.
+  std::optional<HostId> hostOfOtherZone(MonotonicTime Now) const;
   /// Records that \p Leader did not answer or that its cache is stale.
   void recordFailure(const HostId &Leader, MonotonicTime Now);
 
 private:
+  /// Whether \p Host has not failed recently.
+  bool mayAsk(const HostId &Host, MonotonicTime Now) const;
+
   std::string OwnName;
   AvailabilityZoneId OwnZone;
   /// Hosts of this host's zone that it may follow, sorted by name. A listed
   /// host follows only hosts whose names sort before its own, so that no two
   /// hosts follow each other.
   std::vector<LeaderCandidate> Candidates;
+  /// The first hosts of each other zone by name.
+  std::vector<LeaderCandidate> OtherZones;
   std::map<HostId, MonotonicTime> FailedAt;
 };
 
@@ -83,12 +92,15 @@
   void start();
   /// Notifies the followers of a change to the cache.
   void cacheChanged() { replyToAll(); }
+  /// Notifies the followers of a listing of a newer era.
+  void listingReplaced();
 
   bool handleFrame(const PeerFrame &Frame, PeerReplier Reply) override;
   const RelayCounters &counters() const { return Counters; }
 
 private:
   struct PendingRequest {
+    /// 0 if the follower needs a full listing.
     StoreRevision After;
     /// When the follower's wait for a change ends.
     MonotonicTime Deadline;
@@ -97,6 +109,8 @@
   };
 
   bool fresh() const;
+  /// Discards the compressed replies if the cache has changed.
+  void refreshCompressed();
   StoreCacheReply makeReplyFor(const PendingRequest &Request);
   void reply(const PendingRequest &Request);
   /// Replies to \p Request as soon as its turn comes; at once if the reply has
@@ -117,7 +131,7 @@
   std::deque<PendingRequest> Queued;
   /// Compressed replies as of CompressedAt, by StoreCacheRequest::After.
   std::map<StoreRevision, StoreCacheReply> Compressed;
-  StoreRevision CompressedAt;
+  std::pair<StoreEra, StoreRevision> CompressedAt;
   ScopedTimer SendTimer;
   ScopedTimer Timer;
   RelayCounters Counters;
--- a/tools/platform_stand_in.py
+++ b/tools/platform_stand_in.py
@@ -14,6 +14,8 @@
 from __future__ import annotations
 
 import base64
+import copy
+import dataclasses
 import http.server
 import json
 import threading
@@ -97,10 +99,43 @@
         self._server.server_close()
 
 
-class Store(_HttpStandIn):
-    """The metadata store. It does not limit the rate of calls."""
+@dataclasses.dataclass
+class StoreCopy:
+    """What a store holds at one time, see Store.restore()."""
 
-    def __init__(self) -> None:
+    items: dict[str, dict[str, Any]]
+    leases: dict[int, tuple[float, float]]
+    revision: int
+    next_lease: int
+    outside_writes: int
+    taken_at: float
+
+
+def _conditions(body: dict[str, Any]) -> list[tuple[str, int]]:
+    """The conditions of a transaction: key and expected revision, 0 if it must not exist."""
+    return [(condition["key"], condition["revision"]) for condition in body["expectedRev"]]
+
+
+class Store(_HttpStandIn):
+    """The metadata store. It does not limit the rate of calls.
+
+    After copy() and restore() it is in the state of the copy: later writes are gone, and
+    revisions and lease ids are reused. Each restore raises ``era``, the header Store-Era.
+    """
+
+    def __init__(self, era: int | None = None) -> None:
+        #: Value of the header Store-Era; None sends none.
+        self.era = era
+        #: Calls neither run nor are answered while this is set.
+        self.silent = False
+        #: put() and remove() calls, by which the operator and the searchers write.
+        self.outside_writes: list[tuple[str, bytes | None]] = []
+        #: Renewals and ends of leases that belong to another host.
+        self.lease_violations: list[str] = []
+        self.next_lease = 1000
+        #: The host that wrote last with a lease of an era, or over a connection.
+        self._lease_owners: dict[tuple[int | None, int], str] = {}
+        self._connection_owners: dict[tuple[str, int], str] = {}
         self.items: dict[str, dict[str, Any]] = {}
         self.events: list[dict[str, Any]] = []
         self.leases: dict[int, tuple[float, float]] = {}
@@ -117,12 +152,51 @@
     def put(self, key: str, value: object) -> None:
         content = value if isinstance(value, bytes) else json.dumps(value).encode()
         with self._changed:
+            self.outside_writes.append((key, content))
             self._write(key, base64.b64encode(content).decode(), 0)
 
     def remove(self, key: str) -> None:
         with self._changed:
+            self.outside_writes.append((key, None))
             self._remove(key)
 
+    def copy(self) -> StoreCopy:
+        with self._changed:
+            self._expire()
+            return StoreCopy(copy.deepcopy(self.items), dict(self.leases), self.revision,
+                             self.next_lease, len(self.outside_writes), time.monotonic())
+
+    def restore(self, older: StoreCopy) -> None:
+        """Returns to the state of the copy. Leases last as long as they did when it was taken."""
+        with self._changed:
+            passed_s = time.monotonic() - older.taken_at
+            self.items = copy.deepcopy(older.items)
+            self.leases = {lease: (end + passed_s, ttl_s)
+                           for lease, (end, ttl_s) in older.leases.items()}
+            self.revision = older.revision
+            self.next_lease = older.next_lease
+            self.events.clear()
+            self.oldest_revision = self.revision
+            if self.era is not None:
+                self.era += 1
+            self._changed.notify_all()
+
+    def grant_leases_to(self, key: str, count: int) -> None:
+        """Grants the next leases to another client of the store, for a minute."""
+        with self._changed:
+            for lease in range(self.next_lease, self.next_lease + count):
+                self.leases[lease] = (time.monotonic() + 60, 60)
+                self._lease_owners[self.era, lease] = key
+            self.next_lease += count
+
+    def write_again(self, older: StoreCopy) -> None:
+        """Repeats what the operator and the searchers wrote after the copy was taken."""
+        for key, content in dict(self.outside_writes[older.outside_writes:]).items():
+            if content is None:
+                self.remove(key)
+            else:
+                self.put(key, content)
+
     def forget_history(self) -> None:
         """Discards the change history, as the platform may do at any time."""
         with self._changed:
@@ -168,60 +242,99 @@
         name = path.split("/")[1]
         self.call_counts[name] = self.call_counts.get(name, 0) + 1
         time.sleep(self.call_delays_s.get(name, 0))
+        while self.silent:
+            time.sleep(0.05)
         if self.down:
             request.close_connection = True
             return
         fields = {k: v[0] for k, v in urllib.parse.parse_qs(
             query, keep_blank_values=True).items()}
-        status, response = self._execute(name, path, fields, json.loads(body) if body else {})
+        status, response, era = self._execute(name, path, fields, json.loads(body) if body else {},
+                                              request.client_address)
+        while self.silent:
+            time.sleep(0.05)
         if self.lose_answers:
             # The connection stays open but carries no further response.
             while self.lose_answers:
                 time.sleep(0.05)
             time.sleep(3600)
-        request.respond(status, json.dumps(response).encode(), {"Content-Type": "application/json"})
+        headers = {"Content-Type": "application/json"}
+        if era is not None:
+            headers["Store-Era"] = str(era)
+        request.respond(status, json.dumps(response).encode(), headers)
 
-    def _execute(self, name: str, path: str, fields: dict[str, str],
-                 body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+    def _execute(self, name: str, path: str, fields: dict[str, str], body: dict[str, Any],
+                 client: tuple[str, int]) -> tuple[int, dict[str, Any], int | None]:
         with self._changed:
             self._expire()
-            if name == "kv-range":
-                items = [item for key, item in sorted(self.items.items())
-                         if key.startswith(fields["prefix"]) and key > fields.get("after", "")]
-                # Small pages, so that clients have to request several.
-                return 200, {"items": items[:7], "hasMore": len(items) > 7,
-                             "storeRevision": self.revision}
-            if name == "kv-watch":
-                return self._watch(fields)
-            if name == "kv-lease":
-                lease = 1000 + self.revision + len(self.leases)
-                ttl_s = body["ttlMs"] / 1000
-                self.leases[lease] = (time.monotonic() + ttl_s, ttl_s)
-                return 200, {"lease": lease, "ttlMs": body["ttlMs"]}
-            lease = int(path.split("/")[2]) if path.count("/") > 1 else 0
-            if name == "kv-keep":
-                if lease not in self.leases:
+            self._check_lease_owner(name, path, body, client)
+            status, response = self._run(name, path, fields, body)
+            return status, response, self.era
+
+    def _check_lease_owner(self, name: str, path: str, body: dict[str, Any],
+                           client: tuple[str, int]) -> None:
+        if name == "kv-txn":
+            for write in body["writes"]:
+                if write["lease"]:
+                    self._lease_owners[self.era, write["lease"]] = write["key"]
+                    self._connection_owners[client] = write["key"]
+        elif name in ("kv-keep", "kv-lease-end"):
+            lease = int(path.split("/")[2])
+            owner = self._lease_owners.get((self.era, lease))
+            caller = self._connection_owners.get(client)
+            if owner and caller and owner != caller and lease in self.leases:
+                self.lease_violations.append(f"{name} of lease {lease} of {owner} by {caller}")
+
+    def _run(self, name: str, path: str, fields: dict[str, str],
+             body: dict[str, Any]) -> tuple[int, dict[str, Any]]:
+        if name == "kv-key":
+            item = self.items.get(fields["key"])
+            return (200, item) if item else (404, {})
+        if name == "kv-range":
+            items = [item for key, item in sorted(self.items.items())
+                     if key.startswith(fields["prefix"]) and key > fields.get("after", "")]
+            # Small pages, so that clients have to request several.
+            return 200, {"items": items[:7], "hasMore": len(items) > 7,
+                         "storeRevision": self.revision}
+        if name == "kv-watch":
+            return self._watch(fields)
+        if name == "kv-lease":
+            lease = self.next_lease
+            self.next_lease += 1
+            ttl_s = body["ttlMs"] / 1000
+            self.leases[lease] = (time.monotonic() + ttl_s, ttl_s)
+            return 200, {"lease": lease, "ttlMs": body["ttlMs"]}
+        lease = int(path.split("/")[2]) if path.count("/") > 1 else 0
+        if name == "kv-keep":
+            if lease not in self.leases:
+                return 404, {}
+            ttl_s = self.leases[lease][1]
+            self.leases[lease] = (time.monotonic() + ttl_s, ttl_s)
+            return 200, {"ttlMs": int(ttl_s * 1000)}
+        if name == "kv-lease-end":
+            self._end_lease(lease)
+            return 200, {}
+        if name == "kv-txn":
+            unmet = [key for key, revision in _conditions(body)
+                     if self.items.get(key, {}).get("revision", 0) != revision]
+            if unmet:
+                return 412, {"items": [self.items[key] for key in unmet if key in self.items]}
+            for write in body["writes"]:
+                if write["lease"] and write["lease"] not in self.leases:
                     return 404, {}
-                ttl_s = self.leases[lease][1]
-                self.leases[lease] = (time.monotonic() + ttl_s, ttl_s)
-                return 200, {"ttlMs": int(ttl_s * 1000)}
-            if name == "kv-lease-end":
-                self._end_lease(lease)
-                return 200, {}
-            if name == "kv-txn":
-                for write in body["writes"]:
-                    if write["lease"] and write["lease"] not in self.leases:
-                        return 404, {}
-                for write in body["writes"]:
-                    self._write(write["key"], write["value"], write["lease"])
-                return 200, {"revision": self.revision}
+            for key in body["remove"]:
+                self._remove(key)
+            for write in body["writes"]:
+                self._write(write["key"], write["value"], write["lease"])
+            return 200, {"revision": self.revision}
         return 404, {}
 
     def _watch(self, fields: dict[str, str]) -> tuple[int, dict[str, Any]]:
         after = int(fields["after"])
         end = time.monotonic() + int(fields["waitMs"]) / 1000
         while True:
-            if after < self.oldest_revision - 1 or (after < self.revision and not self.events):
+            if after < self.oldest_revision - 1 or (after < self.revision and not self.events) \
+                    or after > self.revision:
                 return 410, {}
             events = [event for event in self.events if event["revision"] > after
                       and event["key"].startswith(fields["prefix"])]
