--- a/store_cache/store_cache_relay.cpp
+++ b/store_cache/store_cache_relay.cpp
@@ -54,8 +54,7 @@
   return std::nullopt;
 }
 
-std::optional<HostId>
-LeaderSelector::hostOfOtherZone(MonotonicTime Now) const {
+std::optional<HostId> LeaderSelector::hostOfOtherZone(MonotonicTime Now) const {
   for (const LeaderCandidate &Host : OtherZones)
     if (mayAsk(Host.Address, Now))
       return Host.Address;
--- a/store_cache/store_cache_relay_test.cpp
+++ b/store_cache/store_cache_relay_test.cpp
@@ -71,5 +71,42 @@
   });
 }
 
+// Guards against a follower of an earlier era that is not told of a restore,
+// since its revision is higher, and against one of an earlier version of the
+// program that is sent a full listing at each call.
+TEST(StoreCacheRelay, FollowerOfAnEarlierEraGetsAFullListing) {
+  runInChildProcess([](FiberLoop &Loop) {
+    StoreCache Cache;
+    Cache.applyListing({serverItem(1)}, StoreRevision(50), StoreEra(1));
+    SourceHealth Source;
+    Source.recordSuccess(Loop.now());
+    StoreCacheRelay Relay(Loop, Cache, Source);
+    std::vector<StoreCacheReply> Replies;
+    auto Ask = [&](uint64_t After, uint64_t Era) {
+      PeerFrame Frame;
+      Frame.Type = MessageType::StoreCacheRequest;
+      Frame.Body = packBody(StoreCacheRequest{StoreRevision(After), Seconds(1),
+                                              false, StoreEra(Era)});
+      Relay.handleFrame(Frame, [&](MessageType, const std::string &Body) {
+        Replies.push_back(valueOf(unpackBody<StoreCacheReply>(Body)));
+      });
+    };
+    Ask(50, 1);
+    EXPECT_TRUE(Replies.empty());
+    Cache.applyListing({serverItem(1)}, StoreRevision(20), StoreEra(2));
+    Relay.listingReplaced();
+    Ask(50, 1);
+    EXPECT_EQ(Replies.size(), 2u);
+    for (const StoreCacheReply &Reply : Replies) {
+      EXPECT_TRUE(Reply.FullListing);
+      EXPECT_EQ(Reply.Era, StoreEra(2));
+      EXPECT_EQ(Reply.Revision, StoreRevision(20));
+    }
+    Ask(20, 0);
+    Ask(20, 2);
+    EXPECT_EQ(Replies.size(), 2u);
+  });
+}
+
 } // namespace
 } // namespace mimosa
--- a/store_cache/store_cache_test.cpp
+++ b/store_cache/store_cache_test.cpp
@@ -42,9 +42,9 @@
 class PagedStore {
 public:
   StoreRevision revision() const { return Revision; }
-  void put(const std::string &Key) {
+  void put(const std::string &Key, const std::string &Suffix = "") {
     Revision = Revision.next();
-    Items[Key] = {Key, std::to_string(Revision.number()), Revision};
+    Items[Key] = {Key, std::to_string(Revision.number()) + Suffix, Revision};
     Events.push_back(Items[Key]);
   }
   void remove(const std::string &Key) {
@@ -103,15 +103,19 @@
   EXPECT_EQ(contents(Cache), Store.contents());
 }
 
-/// Updates \p To with the changes from \p From, through the message.
+/// Updates \p To with the changes from \p From, through the message, unless
+/// From is in an earlier era.
 void follow(const StoreCache &From, StoreCache &To) {
-  StoreCacheReply Sent = makeReply(From.changesSince(To.revision()));
+  if (From.era() < To.era())
+    return;
+  StoreCacheReply Sent = makeReply(From.changesSince(
+      From.era() == To.era() ? To.revision() : StoreRevision()));
   compressItems(Sent);
   auto Received = valueOf(unpackBody<StoreCacheReply>(packBody(Sent)));
   ASSERT_TRUE(ok(decompressItems(Received)));
   StoreChanges Changes = changesOf(std::move(Received));
   if (Changes.FullListing) {
-    To.applyListing(Changes.Items, Changes.Revision);
+    To.applyListing(Changes.Items, Changes.Revision, Changes.Era);
     return;
   }
   for (const StoreItem &Item : Changes.Items)
@@ -201,6 +205,71 @@
   }
 }
 
+// Guards against a listing of a restored store that is ignored because its
+// revisions are lower, and against one of an earlier era that is applied.
+TEST(StoreCache, ListingOfANewerEraReplacesTheCache) {
+  StoreCache Cache;
+  Cache.applyListing({item("a", 50, "later"), item("b", 60), item("c", 2)},
+                     StoreRevision(60), StoreEra(1));
+  std::vector<StoreItem> Changed = Cache.applyListing(
+      {item("a", 5, "copied"), item("c", 2)}, StoreRevision(7), StoreEra(2));
+  EXPECT_EQ(Cache.revision(), StoreRevision(7));
+  EXPECT_EQ(contents(Cache),
+            (std::map<std::string, std::string>{{"a", "copied"}, {"c", "v"}}));
+  ASSERT_EQ(Changed.size(), 2u);
+  EXPECT_EQ(Changed[0].Key, "a");
+  EXPECT_EQ(Changed[1].Key, "b");
+  EXPECT_FALSE(Changed[1].Value);
+  EXPECT_TRUE(Cache.applyListing({}, StoreRevision(90), StoreEra(1)).empty());
+  EXPECT_EQ(Cache.revision(), StoreRevision(7));
+  EXPECT_TRUE(Cache.applyChange(item("a", 8, "new")));
+}
+
+// Guards against a host that holds other items than the store after restores,
+// whichever host it follows and however far history has got meanwhile.
+RC_GTEST_PROP(StoreCache, RestoresMissNoChange, ()) {
+  constexpr size_t Leaders = 2;
+  constexpr size_t Hosts = 4;
+  PagedStore Store;
+  PagedStore Copy = Store;
+  StoreEra Era(1);
+  StoreCache Caches[Hosts];
+  for (int Step = 0; Step < 60; ++Step) {
+    int Action = *rc::gen::inRange(0, 8);
+    if (Action == 0) {
+      Copy = Store;
+    } else if (Action == 1) {
+      Store = Copy;
+      Era = Era.next();
+    }
+    for (int N = *rc::gen::inRange(0, 4); N > 0; --N) {
+      std::string Key(1, static_cast<char>('a' + *rc::gen::inRange(0, 6)));
+      if (*rc::gen::inRange(0, 3) == 0)
+        Store.remove(Key);
+      else
+        Store.put(Key, std::to_string(Era.number()));
+    }
+    StoreCache &Leader = Caches[*rc::gen::inRange<size_t>(0, Leaders)];
+    if (!Leader.hasListing() || Leader.era() != Era) {
+      std::vector<StoreItem> Listing;
+      Store.readPage(Listing, 100);
+      Leader.applyListing(Listing, Store.revision(), Era);
+    } else {
+      for (const StoreItem &Change : Store.changesAfter(Leader.revision()))
+        Leader.applyChange(Change);
+      Leader.advanceTo(Store.revision());
+    }
+    size_t To = *rc::gen::inRange<size_t>(Leaders, Hosts);
+    StoreCache &From = Caches[*rc::gen::inRange<size_t>(0, To)];
+    if (From.hasListing())
+      follow(From, Caches[To]);
+    for (const StoreCache &Cache : Caches)
+      if (Cache.hasListing() && Cache.era() == Era &&
+          Cache.revision() == Store.revision())
+        RC_ASSERT(contents(Cache) == Store.contents());
+  }
+}
+
 // Guards against a reply that makes its follower crash, allocate without bound
 // or apply other items than were sent.
 TEST(StoreCacheReply, CorruptCompressedItemsAreRejected) {
@@ -245,6 +314,26 @@
   EXPECT_EQ(Third.leader(Now + Seconds(5)), HostId("1"));
 }
 
+// Guards against a host that the store turns away and that asks no host of
+// another zone, or only one that does not answer.
+TEST(LeaderSelector, SelectsHostsOfOtherZones) {
+  AvailabilityZoneId Other("z2");
+  LeaderSelector Host("h1", AvailabilityZoneId("z1"));
+  MonotonicTime Now{Seconds(100)};
+  EXPECT_FALSE(Host.hostOfOtherZone(Now));
+  Host.setHosts({{"h0", HostId("0"), AvailabilityZoneId("z1")},
+                 {"h4", HostId("4"), Other},
+                 {"h3", HostId("3"), Other},
+                 {"h2", HostId("2"), Other},
+                 {"h5", HostId("5"), AvailabilityZoneId("z3")}});
+  for (const char *Expected : {"2", "3", "5"}) {
+    EXPECT_EQ(Host.hostOfOtherZone(Now), HostId(Expected));
+    Host.recordFailure(HostId(Expected), Now);
+  }
+  EXPECT_FALSE(Host.hostOfOtherZone(Now));
+  EXPECT_EQ(Host.hostOfOtherZone(Now + Seconds(5)), HostId("2"));
+}
+
 // Guards against followers that all switch to the store when their leader
 // cannot reach it for a moment, and against followers that keep following a
 // leader that cannot reach it for longer.
