--- a/tools/restore_test.py
+++ b/tools/restore_test.py
@@ -19,7 +19,8 @@
 
 from entry_process import EntryProcess
 from fault_proxy import FaultProxy, Mode
-from platform_stand_in import DRAIN_LIMIT_S, LOCALHOST, Searcher, Store, StoreCopy, configuration
+from platform_stand_in import (DRAIN_LIMIT_S, LOCALHOST, TERMINATION_GRACE_S, Searcher, Store,
+                               StoreCopy, configuration)
 from small_system import free_ports
 
 PORTS_PER_HOST = 5
@@ -37,7 +38,9 @@
 #: More changes than a drill makes after the copy, so that history overtakes what hosts know.
 OVERTAKING_CHANGES = 300
 REQUEST_INTERVAL_S = 0.1
-KINDS = ("quick", "silent", "overtaken", "late", "twice")
+KINDS = ("quick", "silent", "overtaken", "late", "twice", "partitioned", "rolling")
+#: In the kind "partitioned", one host is cut off from the store for this long after the restore.
+PARTITION_S = 2.0
 
 
 class Drill:
@@ -82,8 +85,8 @@
         host.wait_ready()
         return host
 
-    def add_searcher(self, service: str, name: str) -> Searcher:
-        searcher = Searcher(service, name, zone="z0")
+    def add_searcher(self, service: str, name: str, zone: str = "z0") -> Searcher:
+        searcher = Searcher(service, name, zone=zone)
         self.cleanups.callback(searcher.close)
         self.searchers[name] = searcher
         self.store.put(f"servers/{name}", searcher.entry())
@@ -127,7 +130,7 @@
 
     def call_continuously(self) -> None:
         def call(host: EntryProcess) -> None:
-            while not self._stopping.wait(REQUEST_INTERVAL_S):
+            while not self._stopping.wait(REQUEST_INTERVAL_S) and host.process.poll() is None:
                 self.served_version(host)
         for host in self.hosts:
             threading.Thread(target=call, args=(host,), daemon=True).start()
@@ -161,7 +164,23 @@
         return self.wait_for(limit_s, "all hosts named by all hosts", lambda: all(
             self.named_hosts(host) == addresses for host in self.hosts))
 
+    def restart(self, index: int) -> None:
+        """Stops a host and starts it again."""
+        old = self.hosts[index]
+        old.process.terminate()
+        old.process.wait(TERMINATION_GRACE_S)
+        hosts, proxies = self.hosts[index + 1:], self.proxies[index + 1:]
+        del self.hosts[index:], self.proxies[index:]
+        try:
+            self.start_host()
+        finally:
+            self.hosts += hosts
+            self.proxies += proxies
+
     def restore(self, kind: str, older: StoreCopy) -> None:
+        if kind == "partitioned":
+            self.proxies[0].inject(Mode.DROP_ALL)
+            threading.Timer(PARTITION_S, self.proxies[0].heal).start()
         if kind == "silent":
             self.store.silent = True
             time.sleep(SILENCE_S)
@@ -177,6 +196,8 @@
             return
         self.store.restore(older)
         self.store.silent = False
+        if kind == "rolling":
+            self.restart(0)
         time.sleep(LATE_REWRITE_S if kind == "late" else REWRITE_S)
         self.store.write_again(older)
 
@@ -249,6 +270,40 @@
     def test_two_restores(self) -> None:
         self.run_drill("twice")
 
+    def test_restore_during_a_partition(self) -> None:
+        self.run_drill("partitioned")
+
+    def test_restore_during_a_rolling_restart(self) -> None:
+        self.run_drill("rolling")
+
+    def test_zone_stays_evacuated_until_the_operator_writes_again(self) -> None:
+        # Guards against requests to an evacuated zone whose key the copy lacks, and against a zone
+        # that stays out although its key was withdrawn.
+        drill = Drill(2, 2, started=2)
+        self.addCleanup(drill.close)
+        searcher = drill.add_searcher("service-1", "i-evacuated", zone="z1")
+        drill.wait_for(3, "requests at the zone", lambda: drill.served_version(
+            drill.hosts[1]) is not None and bool(searcher.arrivals))
+        for withdrawn in (False, True):
+            older = drill.store.copy()
+            drill.store.put("op/evacuate/z1", {})
+            time.sleep(1)
+            out_at = time.monotonic()
+            drill.store.restore(older)
+            end = time.monotonic() + LATE_REWRITE_S
+            while time.monotonic() < end:
+                for host in drill.hosts:
+                    drill.served_version(host)
+            if not withdrawn:
+                drill.store.write_again(older)
+                time.sleep(1.5)
+                drill.served_version(drill.hosts[1])
+            self.assertEqual([at for at in searcher.arrivals if at > out_at], [])
+            drill.store.remove("op/evacuate/z1")
+            drill.wait_for(3, "requests at the zone after its return", lambda: drill.served_version(
+                drill.hosts[1]) is not None and searcher.last_arrival > out_at)
+        self.assertEqual(drill.problems, [])
+
     def test_host_that_starts_after_a_restore_takes_no_older_configuration(self) -> None:
         # Guards against a host that starts between the restore and the operator's next write, and
         # handles requests by a version that the others have left.
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -189,6 +189,7 @@
             "store_slow": self._store_slow,
             "store_forgets": self._store_forgets,
             "store_rejects_host": self._store_rejects_host,
+            "store_restored": self._store_restored,
             "searchers_killed": self._searchers_killed,
             "searchers_paused": self._searchers_paused,
             "searchers_unreachable": self._searchers_unreachable,
@@ -243,6 +244,20 @@
         self.system.store.forget_history()
         return end_fault
 
+    def _store_restored(self) -> Action:
+        """Restores the store from a copy taken now; the others write again a little later."""
+        copy_age_s, rewrite_s = self.rng.uniform(0.3, 2.0), self.rng.uniform(0, LATEST_REWRITE_S)
+        older = self.system.store.copy()
+        end_fault = self._record_disturbance([checks.STORE, checks.ALL_SEARCHERS], lambda: None)
+
+        def restore() -> None:
+            time.sleep(copy_age_s)
+            self.system.store.restore(older)
+            time.sleep(rewrite_s)
+            self.system.store.write_again(older)
+            end_fault()
+        return self._in_background(restore)
+
     def _store_rejects_host(self) -> Action:
         host = self._random_host()
         host.store_proxy.inject(self.rng.choice(
@@ -450,6 +465,8 @@
 DURATIONS_S = {"evacuation": (6.0, 8.0), "all_hosts_killed": (0.5, 1.5),
                "host_paused": (0.1, 1.5), "searchers_paused": (0.1, 1.5),
                "searchers_state_limits": (6.0, 9.0)}
+#: Operators and searchers write again within this time of a restore of the store.
+LATEST_REWRITE_S = 2.5
 #: Requests a second that searchers state as their limit; each gets about 8.
 STATED_LIMITS = (1.5, 3)
 DEFAULT_DURATION_S = (0.1, 2.5)
--- a/tools/soak_system.py
+++ b/tools/soak_system.py
@@ -269,7 +269,7 @@
     def __init__(self, folder: pathlib.Path, hosts: int) -> None:
         self.folder = folder
         self.history = checks.History()
-        self.store = Store()
+        self.store = Store(era=1)
         self.sequence = 0
         self.version = 0
         self.shard_set = 0
--- a/tools/soak_test.py
+++ b/tools/soak_test.py
@@ -31,6 +31,11 @@
         self.run_soak(1, ["host_killed", "searchers_killed", "searchers_unreachable",
                           "store_loses_answers", "configuration"])
 
+    def test_restores_of_the_store_keep_all_guarantees(self) -> None:
+        # Guards against a host that goes back to what an older copy of the store says, while the
+        # configuration, hosts and searchers change.
+        self.run_soak(3, ["store_restored", "configuration", "searchers_drain", "host_stopped"])
+
     def test_statements_of_searchers_are_kept(self) -> None:
         # Guards against requests beyond a stated limit, or to searchers that say they leave, while
         # the configuration changes. Both injected violations must apply and be found.
