--- a/tools/platform_stand_in.py
+++ b/tools/platform_stand_in.py
@@ -140,6 +140,7 @@
         self.events: list[dict[str, Any]] = []
         self.leases: dict[int, tuple[float, float]] = {}
         self.revision = 1
+        #: The changes up to this revision are not in ``events``.
         self.oldest_revision = 1
         self.down = False
         self.lose_answers = False
@@ -333,8 +334,7 @@
         after = int(fields["after"])
         end = time.monotonic() + int(fields["waitMs"]) / 1000
         while True:
-            if after < self.oldest_revision - 1 or (after < self.revision and not self.events) \
-                    or after > self.revision:
+            if not self.oldest_revision <= after <= self.revision:
                 return 410, {}
             events = [event for event in self.events if event["revision"] > after
                       and event["key"].startswith(fields["prefix"])]
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -465,6 +465,8 @@
 DURATIONS_S = {"evacuation": (6.0, 8.0), "all_hosts_killed": (0.5, 1.5),
                "host_paused": (0.1, 1.5), "searchers_paused": (0.1, 1.5),
                "searchers_state_limits": (6.0, 9.0)}
+#: Share of runs with random kinds in which the store may be restored.
+RESTORE_SHARE = 0.25
 #: Operators and searchers write again within this time of a restore of the store.
 LATEST_REWRITE_S = 2.5
 #: Requests a second that searchers state as their limit; each gets about 8.
@@ -541,7 +543,11 @@
             for caller in callers:
                 caller.start()
             time.sleep(WARM_UP_S)
-            drawn_kinds = rng.sample(sorted(faults.kinds), rng.randint(2, 6))
+            # Restores are drawn apart, so that older seeds keep their kinds and times.
+            others = sorted(set(faults.kinds) - {"store_restored"})
+            drawn_kinds = rng.sample(others, rng.randint(2, 6))
+            if random.Random(f"restore {seed}").random() < RESTORE_SHARE:
+                drawn_kinds.append("store_restored")
             kinds = settings.kinds or drawn_kinds
             count = run_faults(faults, rng, kinds, time.monotonic() + settings.seconds, log)
             for thread in faults.pending:
