--- a/runtime/http_client.cpp
+++ b/runtime/http_client.cpp
@@ -110,6 +110,9 @@
       close();
     HttpResponse Response;
     Response.Status = static_cast<int>(Message.result_int());
+    for (const auto &Field : Message.base())
+      Response.Headers.push_back(
+          {std::string(Field.name_string()), std::string(Field.value())});
     Response.Body = std::move(Message.body());
     return Response;
   }
