--- a/balance/backend_server.h
+++ b/balance/backend_server.h
@@ -36,6 +36,8 @@
 struct BackendServerEntry {
   BackendServerId Id;
   ServiceId Service;
+  /// Empty if not reported.
+  VersionId Version;
   /// "ip:port"
   std::string Address;
   AvailabilityZoneId Zone;
--- a/balance/call_scheduler.cpp
+++ b/balance/call_scheduler.cpp
@@ -81,6 +81,7 @@
   ServerCriteria Criteria;
   Criteria.TypicalLatency = typicalLatency(Call.Request);
   Criteria.TriedServers = &Call.TriedServers;
+  Criteria.Route = Call.Request.Route;
   return Registry.choose(Call.Request.Service, Criteria, Now);
 }
 
@@ -185,6 +186,12 @@
   return Found;
 }
 
+void CallScheduler::reportAttempt(const AttemptState &Attempt, AttemptEnd End,
+                                  MonotonicTime Now) const {
+  if (AttemptCallback)
+    AttemptCallback({*Attempt.Server, Attempt.Route, Attempt.SentAt, End, Now});
+}
+
 void CallScheduler::recordLatency(const AttemptState &Attempt,
                                   MonotonicTime Now) {
   Duration Latency = Now - Attempt.SentAt;
@@ -206,6 +213,10 @@
   AttemptState Attempt;
   auto It = closeAttempt(Found, Attempt);
   ServiceId Service = Attempt.Server->entry().Service;
+  if (!Answer.NotRun && !Answer.Misdirected)
+    reportAttempt(Attempt,
+                  Answer.success() ? AttemptEnd::Succeeded : AttemptEnd::Failed,
+                  Now);
   // A misdirected answer is that of another backend server.
   if (!Answer.Misdirected)
     Registry.recordNotice(*Attempt.Server, Answer.Notice, Attempt.SentAt, Now);
@@ -381,6 +392,9 @@
   AttemptState Attempt;
   auto CallIt = closeAttempt(It, Attempt);
   Duration Median = typicalLatency(Attempt);
+  // An attempt that was cancelled early says nothing about its server.
+  if (Now - Attempt.SentAt > 2 * Median)
+    reportAttempt(Attempt, AttemptEnd::Unanswered, Now);
   Attempt.Server->recordStall(
       inSeconds(Now - Attempt.SentAt) / inSeconds(Median), Now);
   if (Now - Attempt.SentAt > DetachedGrace)
--- a/balance/call_scheduler.h
+++ b/balance/call_scheduler.h
@@ -74,6 +74,18 @@
   virtual void cancel(AttemptId Id) = 0;
 };
 
+/// How an attempt that may have run has ended.
+enum class AttemptEnd { Succeeded, Failed, Unanswered };
+
+/// The end of one attempt.
+struct AttemptReport {
+  const BackendServer &Server;
+  const RouteId &Route;
+  MonotonicTime SentAt;
+  AttemptEnd End;
+  MonotonicTime EndedAt;
+};
+
 /// Counters since the start of the process, for metrics.
 struct CallCounters {
   uint64_t Calls = 0;
@@ -152,6 +164,12 @@
   }
   void onTimer(MonotonicTime Now);
 
+  /// Sets a function that is called at the end of each attempt that may have
+  /// run.
+  void onAttemptEnded(std::function<void(const AttemptReport &)> Callback) {
+    AttemptCallback = std::move(Callback);
+  }
+
   const ServerRegistry &registry() const { return Registry; }
   void setRetryBudget(RetryBudgetOptions Options) { BudgetOptions = Options; }
   const CallCounters &counters() const { return Counters; }
@@ -267,6 +285,8 @@
   /// Cancels an attempt that has not been answered by ExpiresAt.
   void expire(AttemptMap::iterator It, MonotonicTime Now);
   void recordLatency(const AttemptState &Attempt, MonotonicTime Now);
+  void reportAttempt(const AttemptState &Attempt, AttemptEnd End,
+                     MonotonicTime Now) const;
 
   ServerRegistry &Registry;
   BackendTransport &Transport;
@@ -285,6 +305,7 @@
   /// The wake-up time that was last returned or notified.
   MonotonicTime AnnouncedWakeUp = MonotonicTime::max();
   std::function<void()> EarlierWakeUp;
+  std::function<void(const AttemptReport &)> AttemptCallback;
   CallId LastCall;
   AttemptId LastAttempt;
 };
--- a/balance/server_registry.cpp
+++ b/balance/server_registry.cpp
@@ -159,6 +159,9 @@
 void ServerRegistry::recordSend(BackendServer &Server,
                                 MonotonicTime Now) const {
   Server.recordSend(Now);
+  if (ServerFilter *F =
+          Filters ? Filters->find(Server.entry().Service) : nullptr)
+    F->recordSend(Server);
   Server.pushback().recordSend(HostCount, Now);
 }
 
@@ -243,15 +246,60 @@
   return Cost;
 }
 
+ServerRegistry::Eligible::Eligible(const ServerRegistry &Registry,
+                                   const ServiceId &Service)
+    : Filter(Registry.Filters ? Registry.Filters->find(Service) : nullptr) {
+  if (!Filter)
+    return;
+  const std::vector<BackendServerPtr> &All = Registry.servers(Service);
+  AnyRegular =
+      std::any_of(All.begin(), All.end(), [&](const BackendServerPtr &S) {
+        return Filter->role(*S) == ServerRole::Regular && Registry.usable(*S);
+      });
+}
+
+bool ServerRegistry::Eligible::operator()(const BackendServer &Server) const {
+  if (!Filter)
+    return true;
+  ServerRole Role = Filter->role(Server);
+  return AnyRegular ? Role == ServerRole::Regular
+                    : Role != ServerRole::Excluded;
+}
+
 BackendServerPtr ServerRegistry::choose(const ServiceId &Service,
                                         const ServerCriteria &Criteria,
                                         MonotonicTime Now) const {
+  Eligible IsEligible(*this, Service);
+  ServerFilter *Filter = IsEligible.filter();
+  if (!Filter)
+    return chooseAmong(Service, Criteria, IsEligible, Now);
+  bool IsFirst = !Criteria.TriedServers || Criteria.TriedServers->empty();
+  BackendServerPtr Out;
+  if (IsFirst && Filter->trialDue(Criteria.Route, Now))
+    Out = chooseAmong(
+        Service, Criteria,
+        [&](const BackendServer &S) {
+          return Filter->role(S) == ServerRole::Trial;
+        },
+        Now);
+  if (!Out)
+    Out = chooseAmong(Service, Criteria, IsEligible, Now);
+  if (Out && IsFirst)
+    Filter->recordFirstAttempt(Criteria.Route, *Out);
+  return Out;
+}
+
+template <typename Predicate>
+BackendServerPtr ServerRegistry::chooseAmong(const ServiceId &Service,
+                                             const ServerCriteria &Criteria,
+                                             const Predicate &IsEligible,
+                                             MonotonicTime Now) const {
   BackendServerPtr Best;
   double BestCost = 0;
   bool BestIsAvoided = false;
   for (const BackendServerPtr &Server : servers(Service)) {
     if (!usable(*Server) || contains(Criteria.TriedServers, Server) ||
-        !belowLimits(*Server, Now))
+        !IsEligible(*Server) || !belowLimits(*Server, Now))
       continue;
     bool Ejected = Server->ejected();
     if (Ejected && (Criteria.MaxCost > 0 || Server->inFlight() > 0))
@@ -277,9 +325,10 @@
 
 ServiceState ServerRegistry::state(const ServiceId &Service,
                                    MonotonicTime Now) const {
+  Eligible IsEligible(*this, Service);
   bool AnySelectable = false;
   for (const BackendServerPtr &Server : servers(Service)) {
-    if (!selectable(*Server, Now))
+    if (!selectable(*Server, Now) || !IsEligible(*Server))
       continue;
     AnySelectable = true;
     if (belowLimits(*Server, Now))
@@ -292,9 +341,11 @@
 ServerRegistry::earliestSendAt(const ServiceId &Service,
                                const std::vector<BackendServerPtr> &Tried,
                                MonotonicTime Now) const {
+  Eligible IsEligible(*this, Service);
   MonotonicTime Earliest = MonotonicTime::max();
   for (const BackendServerPtr &Server : servers(Service))
-    if (selectable(*Server, Now) && !contains(&Tried, Server))
+    if (selectable(*Server, Now) && IsEligible(*Server) &&
+        !contains(&Tried, Server))
       Earliest = std::min(
           Earliest, std::max(Now, Server->pushback().nextSendAt(HostCount)));
   return Earliest;
@@ -312,9 +363,10 @@
 bool ServerRegistry::hasUntriedServer(
     const ServiceId &Service, const std::vector<BackendServerPtr> &Tried,
     MonotonicTime Now) const {
+  Eligible IsEligible(*this, Service);
   const std::vector<BackendServerPtr> &All = servers(Service);
   return std::any_of(All.begin(), All.end(), [&](const BackendServerPtr &S) {
-    return selectable(*S, Now) && !contains(&Tried, S);
+    return selectable(*S, Now) && IsEligible(*S) && !contains(&Tried, S);
   });
 }
 
--- a/balance/server_registry.h
+++ b/balance/server_registry.h
@@ -16,6 +16,7 @@
 #define MIMOSA_BALANCE_SERVER_REGISTRY_H
 
 #include "balance/backend_server.h"
+#include "balance/server_filter.h"
 #include "base/random.h"
 
 #include <deque>
@@ -43,6 +44,8 @@
   /// If above 0, only a backend server that is not ejected and whose expected
   /// latency is at most this many typical latencies.
   double MaxCost = 0;
+  /// Route of the request, for ServerFilter.
+  RouteId Route;
 };
 
 /// Whether a service can take a request now.
@@ -69,6 +72,10 @@
   /// requests.
   void setEvacuatedZones(std::set<AvailabilityZoneId> Zones);
 
+  /// Sets which backend servers of a service may be chosen. \p NewFilters must
+  /// outlive this; null if all may be.
+  void setFilters(const ServerFilters *NewFilters) { Filters = NewFilters; }
+
   /// Sets the number of entry hosts that share the backend servers, at least 1.
   void setHostCount(uint32_t Count) { HostCount = Count; }
   uint32_t hostCount() const { return HostCount; }
@@ -149,6 +156,24 @@
     double ColdRate = 0;
   };
 
+  /// The backend servers of one service that a choice is restricted to.
+  class Eligible {
+  public:
+    /// Regular ones, or those that stand in if none of them is usable.
+    Eligible(const ServerRegistry &Registry, const ServiceId &Service);
+    bool operator()(const BackendServer &Server) const;
+    ServerFilter *filter() const { return Filter; }
+
+  private:
+    ServerFilter *Filter;
+    bool AnyRegular = true;
+  };
+
+  /// The best server among those that \p IsEligible accepts.
+  template <typename Predicate>
+  BackendServerPtr
+  chooseAmong(const ServiceId &Service, const ServerCriteria &Criteria,
+              const Predicate &IsEligible, MonotonicTime Now) const;
   const Limits &limitsOf(const ServiceId &Service) const;
   /// Whether \p Server may get one more request from this host now.
   bool belowLimits(const BackendServer &Server, MonotonicTime Now) const;
@@ -165,6 +190,7 @@
 
   AvailabilityZoneId OwnZone;
   Random &Rng;
+  const ServerFilters *Filters = nullptr;
   uint32_t HostCount = 1;
   double ColdOverage = 1.5;
   double ColdSlack = 5;
--- a/base/ids.h
+++ b/base/ids.h
@@ -72,6 +72,8 @@
 using AvailabilityZoneId = TextId<struct AvailabilityZoneIdTag>;
 /// A backend server, by its name in the configuration.
 using BackendServerId = TextId<struct BackendServerIdTag>;
+/// The version of the program that a backend server runs.
+using VersionId = TextId<struct VersionIdTag>;
 /// One version of the search index.
 using SnapshotId = TextId<struct SnapshotIdTag>;
 /// The caller's idempotency key of a non-idempotent request.
--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -83,6 +83,8 @@
       OwnRegistration(candidateOf(Self), Options.FirstStart, Rng),
       Store(Loop, Options.StoreAddress),
       Feed(Loop, Store, Self, Options.Seeds, Options.Relaying, *this),
+      Rollouts(Loop, Registry, Scheduler, Feed, Store, Metrics, Rng, Self,
+               Incarnation(Seed), Options.Rollout),
       Pages(Directory), MetricsHandler(*this),
       CallerServer(Loop, serverOptions(Options.CallerAddress), Service),
       ReadyServer(Loop, serverOptions(Options.ReadyAddress), Pages),
@@ -105,6 +107,7 @@
 void EntryNode::applySettings() {
   Scheduler.setRetryBudget(Options.RetryBudget);
   Registry.setColdAllowance(Options.ColdOverage, Options.ColdSlack);
+  Rollouts.setLimits(Options.Rollout);
 }
 
 void EntryNode::registerGauges() {
@@ -174,6 +177,7 @@
       Loop.every(LiftedLimitsInterval, [this] { broadcastLiftedLimits(); });
   LogFlushTimer = Loop.every(LogFlushInterval, [] { flushLog(); });
   Feed.start();
+  Rollouts.start();
   logInfo("node", "event=started host=" + Options.HostName +
                       " zone=" + Options.Zone.text() + " callers=" +
                       Options.CallerAddress + " store=" + Options.StoreAddress);
@@ -275,6 +279,7 @@
   for (const EntryHost &Host : Hosts)
     Listed.push_back(candidateOf(Host));
   OwnRegistration.setListed(Listed, Loop.now());
+  Rollouts.setHosts(Hosts);
   OtherHosts.clear();
   for (const EntryHost &Host : Hosts)
     if (Host.PeerAddress != Self.PeerAddress)
@@ -300,6 +305,10 @@
     limitsLifted(Frame);
     return true;
   }
+  if (Frame.Type == MessageType::RolloutEvidence) {
+    Rollouts.handleEvidence(Frame, Reply);
+    return true;
+  }
   if (Frame.Type != MessageType::StrikeNotice)
     return Feed.peerHandler().handleFrame(Frame, std::move(Reply));
   Result<StrikeNotice> Notice = unpackBody<StrikeNotice>(Frame.Body);
@@ -341,6 +350,7 @@
   Options.RetryBudget = NewOptions.RetryBudget;
   Options.ColdOverage = NewOptions.ColdOverage;
   Options.ColdSlack = NewOptions.ColdSlack;
+  Options.Rollout = NewOptions.Rollout;
   Options.StopLimit = NewOptions.StopLimit;
   applySettings();
   logInfo("node", "event=reloaded");
--- a/entry/entry_node.h
+++ b/entry/entry_node.h
@@ -13,6 +13,7 @@
 #include "entry/entry_options.h"
 #include "entry/entry_service.h"
 #include "entry/host_directory.h"
+#include "entry/rollout_driver.h"
 #include "placement/registration.h"
 #include "platform/platform_feed.h"
 #include "runtime/loop_monitor.h"
@@ -61,6 +62,14 @@
   void evacuatedZonesChanged(std::set<AvailabilityZoneId> Zones) override;
   void hostsChanged(std::vector<EntryHost> Hosts) override;
   std::optional<MonotonicTime> registerAt() override;
+  void rolloutOrderChanged(const ServiceId &ServiceName,
+                           std::optional<RolloutOrder> Order) override {
+    Rollouts.orderChanged(ServiceName, std::move(Order));
+  }
+  void rolloutStatusChanged(const ServiceId &ServiceName,
+                            std::optional<RolloutStatus> Status) override {
+    Rollouts.statusChanged(ServiceName, std::move(Status));
+  }
   void storeReachabilityChanged(bool Reachable,
                                 const std::string &Reason) override;
 
@@ -94,6 +103,7 @@
   Registration OwnRegistration;
   MetadataStore Store;
   PlatformFeed Feed;
+  RolloutDriver Rollouts;
   DirectoryPages Pages;
   MetricsPage MetricsHandler;
   HttpServer CallerServer;
--- a/entry/entry_options.cpp
+++ b/entry/entry_options.cpp
@@ -23,6 +23,7 @@
   std::string FirstStart = "false";
   std::string StrictRevocation = "false";
   int64_t RevokeMs = inMilliseconds(Values.RevocationLimit);
+  int64_t RollbackMs = inMilliseconds(Values.Rollout.RollbackTime);
   int64_t AddressLifetimeS = Values.AddressLifetime / Seconds(1);
   int64_t LongestLifetimeS = 5;
   double StopLimitS = inSeconds(Values.StopLimit);
@@ -72,6 +73,15 @@
               "has not been confirmed for revoke-ms",
               &StrictRevocation);
   Parser.number("revoke-ms", "see strict-revocation", &RevokeMs, 100, 600000);
+  Parser.decimal("rollout-exposure-share",
+                 "share of a service's requests that a bad version may get",
+                 &Values.Rollout.ExposureShare, 0, 1);
+  Parser.decimal("rollout-exposure-slack", "requests on top of that share",
+                 &Values.Rollout.ExposureSlack, 0, 1e9);
+  Parser.number("rollback-ms",
+                "time from the 50th bad answer of a version to its last "
+                "request",
+                &RollbackMs, 100, 600000);
   Parser.number("address-lifetime-s", "how long callers keep an address",
                 &AddressLifetimeS, 1, 60);
   Parser.number("longest-address-lifetime-s",
@@ -100,6 +110,7 @@
   Options.FirstStart = FirstStart == "true";
   Options.StrictRevocation = StrictRevocation == "true";
   Options.RevocationLimit = Milliseconds(RevokeMs);
+  Options.Rollout.RollbackTime = Milliseconds(RollbackMs);
   Options.RetryBudget.Window = Milliseconds(WindowMs);
   Options.AddressLifetime =
       Seconds(std::min(AddressLifetimeS, LongestLifetimeS));
--- a/entry/entry_options.h
+++ b/entry/entry_options.h
@@ -6,6 +6,7 @@
 #include "balance/retry_budget.h"
 #include "base/ids.h"
 #include "base/time.h"
+#include "rollout/rollout_order.h"
 #include "store_cache/store_cache_relay.h"
 
 #include <optional>
@@ -37,6 +38,7 @@
   /// server: its configured rate times ColdOverage, plus ColdSlack.
   double ColdOverage = 1.5;
   double ColdSlack = 5;
+  RolloutLimits Rollout;
   /// A withdrawn key is not accepted beyond RevocationLimit, even if this host
   /// cannot find out whether it was withdrawn.
   bool StrictRevocation = false;
--- /dev/null
+++ b/rollout/module.cmake
@@ -0,0 +1,1 @@
+mimosa_module(rollout mimosa_base mimosa_store_cache mimosa_balance)
--- a/runtime/peer.h
+++ b/runtime/peer.h
@@ -47,6 +47,7 @@
   StrikeAck = 23,
   ClaimOutcome = 24,
   LiftedLimits = 25,
+  RolloutEvidence = 27,
   Dispatch = 30,
   DispatchReply = 31,
   DispatchCancel = 32,
--- a/tools/platform_stand_in.py
+++ b/tools/platform_stand_in.py
@@ -45,9 +45,9 @@
 
 
 def server_entry(service: str, address: str, zone: str, state: str, sequence: int,
-                 started_at: int = 1) -> dict[str, Any]:
+                 started_at: int = 1, version: str = "v1") -> dict[str, Any]:
     """Returns the value of the key servers/<id> by which a searcher registers itself."""
-    return {"service": service, "address": address, "zone": zone, "version": "v1",
+    return {"service": service, "address": address, "zone": zone, "version": version,
             "slots": 4, "state": state, "coldLeftMs": 0, "sequence": sequence, "born": started_at}
 
 
@@ -209,6 +209,9 @@
                 self._end_lease(lease)
                 return 200, {}
             if name == "kv-txn":
+                conflicts = self._conflicts(body["expectedRev"])
+                if conflicts is not None:
+                    return 412, {"items": conflicts}
                 for write in body["writes"]:
                     if write["lease"] and write["lease"] not in self.leases:
                         return 404, {}
@@ -217,6 +220,13 @@
                 return 200, {"revision": self.revision}
         return 404, {}
 
+    def _conflicts(self, expected: list[dict[str, Any]]) -> list[dict[str, Any]] | None:
+        """Returns the current items if a condition does not hold; revision 0: no such item."""
+        if all(self.items.get(each["key"], {}).get("revision", 0) == each["revision"]
+               for each in expected):
+            return None
+        return [self.items[each["key"]] for each in expected if each["key"] in self.items]
+
     def _watch(self, fields: dict[str, str]) -> tuple[int, dict[str, Any]]:
         after = int(fields["after"])
         end = time.monotonic() + int(fields["waitMs"]) / 1000
@@ -236,8 +246,11 @@
     """A searcher. ``runs`` lists the requests that it ran: id, request line and body."""
 
     def __init__(self, service: str, name: str, records: list[bytes] | None = None,
-                 zone: str = "z1") -> None:
+                 zone: str = "z1", version: str = "v1") -> None:
         self.service = service
+        self.version = version
+        #: Every so many runs, the answer is a failure; 0 for none.
+        self.fail_every = 0
         self.name = name
         self.zone = zone
         self.records = records or []
@@ -256,7 +269,8 @@
 
     def entry(self, state: str = "ready") -> dict[str, Any]:
         self.sequence += 1
-        return server_entry(self.service, self.address, self.zone, state, self.sequence)
+        return server_entry(self.service, self.address, self.zone, state, self.sequence,
+                            version=self.version)
 
     def stamp(self, request_id: str) -> str:
         return f"{self.name}.{request_id}"
@@ -273,7 +287,10 @@
                 "Not-Executed": "1", "Attempt-Id": request_id, **self.headers})
         with self._lock:
             self.runs.append((request_id, f"{request.command} {request.path}", body))
+            fails = self.fail_every > 0 and len(self.runs) % self.fail_every == 0
         time.sleep(self.delay_s)
+        if fails:
+            return request.respond(500, b"", {"Attempt-Id": request_id})
         if self.loses_answers:
             request.close_connection = True
             return None
