--- a/rollout/evidence_table.cpp
+++ b/rollout/evidence_table.cpp
@@ -17,6 +17,11 @@
 constexpr Duration SlowMargin = Milliseconds(4);
 /// Answers of the other versions from which their median is known.
 constexpr uint64_t MinMedianAnswers = 10;
+/// Bad answers above the expected number that count in one slot, so that slots
+/// with many requests do not outweigh all others.
+constexpr double MaxSlotDifference = 2;
+/// Answers from which a route counts for LeastRouteAnswers.
+constexpr uint64_t MinRouteTraffic = 30;
 /// Slots are compared together until they have this many answers of the other
 /// versions, for at most MaxGroupSlots: that is still about the same time.
 constexpr uint64_t MinGroupAnswers = 4;
@@ -181,8 +186,18 @@
   Out->OtherAnswers += Other.answers();
   Out->OtherFailures += Other.Failures;
   Out->OtherSlow += Other.bad(Limit) - Other.Failures;
+  if (Other.answers() >= MinRouteTraffic)
+    Out->LeastRouteAnswers = std::min(Out->LeastRouteAnswers, Target.answers());
 
+  // Many slow answers of both versions must not hide failures of one.
+  Out->useWorse(scoreOf(Route, Slots, LatencyBuckets));
+  Out->useWorse(scoreOf(Route, Slots, Limit));
+}
+
+Comparison EvidenceTable::scoreOf(const RouteId &Route, const RouteSlots &Slots,
+                                  size_t Limit) {
   double Sum = 0;
+  double LimitedSum = 0;
   double SumOfSquares = 0;
   double Variance = 0;
   double Compared = 0;
@@ -198,9 +213,14 @@
     if (N1 == 0 || N2 == 0)
       return;
     double Difference = B1 - N1 * Bad / N;
+    double Limited =
+        std::clamp(Difference, -MaxSlotDifference, MaxSlotDifference);
+    double SlotVariance =
+        N1 * N2 * Bad * (N - Bad) / (N * N * std::max(1.0, N - 1));
     Sum += Difference;
-    SumOfSquares += Difference * Difference;
-    Variance += N1 * N2 * Bad * (N - Bad) / (N * N * std::max(1.0, N - 1));
+    LimitedSum += Limited;
+    SumOfSquares += Limited * Limited;
+    Variance += std::min(SlotVariance, MaxSlotDifference * MaxSlotDifference);
     Compared += N1;
   };
   for (const auto &[Number, Counts] : Slots) {
@@ -218,17 +238,22 @@
   }
   Flush();
   double Scale = std::sqrt(std::max(SumOfSquares, Variance));
-  Comparison OfRoute;
-  OfRoute.Score = Scale > 0 ? Sum / Scale : 0;
-  OfRoute.Excess = Sum;
-  OfRoute.ExcessShare = Compared > 0 ? Sum / Compared : 0;
-  if (std::make_pair(OfRoute.isWorse(0), OfRoute.Score) <=
-      std::make_pair(Out->isWorse(0), Out->Score))
+  Comparison Out;
+  Out.Score = Scale > 0 ? LimitedSum / Scale : 0;
+  Out.Excess = Sum;
+  Out.ExcessShare = Compared > 0 ? Sum / Compared : 0;
+  Out.WorstRoute = Route;
+  return Out;
+}
+
+void Comparison::useWorse(const Comparison &Other) {
+  if (std::make_pair(Other.isWorse(0), Other.Score) <=
+      std::make_pair(isWorse(0), Score))
     return;
-  Out->Score = OfRoute.Score;
-  Out->Excess = OfRoute.Excess;
-  Out->ExcessShare = OfRoute.ExcessShare;
-  Out->WorstRoute = Route;
+  Score = Other.Score;
+  Excess = Other.Excess;
+  ExcessShare = Other.ExcessShare;
+  WorstRoute = Other.WorstRoute;
 }
 
 Comparison EvidenceTable::compare() const {
--- a/rollout/evidence_table.h
+++ b/rollout/evidence_table.h
@@ -61,6 +61,9 @@
   uint64_t OtherAnswers = 0;
   uint64_t OtherFailures = 0;
   uint64_t OtherSlow = 0;
+  /// Least number of answers of the target version on any route that the other
+  /// versions answer often enough.
+  uint64_t LeastRouteAnswers = UINT64_MAX;
   /// Of the worst route: see the head of this file, the number of bad answers
   /// above the expected one, and as a share of the answers.
   double Score = 0;
@@ -69,6 +72,8 @@
   RouteId WorstRoute;
 
   bool isWorse(double MinScore) const;
+  /// Takes over the score of \p Other if it is a stronger sign of a fault.
+  void useWorse(const Comparison &Other);
   std::string text() const;
 };
 
@@ -125,6 +130,9 @@
   void applyCell(Source &From, const RolloutCell &Cell, MonotonicTime Now);
   static AnswerCounts total(const RouteSlots &Slots, bool Target);
   static size_t usualBucketLimit(const RouteSlots &Slots);
+  /// The score of bad answers, see AnswerCounts::bad().
+  static Comparison scoreOf(const RouteId &Route, const RouteSlots &Slots,
+                            size_t Limit);
   static void compareRoute(const RouteId &Route, const RouteSlots &Slots,
                            Comparison *Out);
 
--- a/rollout/rollout_review.cpp
+++ b/rollout/rollout_review.cpp
@@ -20,6 +20,9 @@
 /// of 1 s.
 constexpr double EarlyScore = 3;
 constexpr double FinalScore = 2.2;
+/// Bad answers above the expected ones, as a share of the answers, from which
+/// the lower score is sufficient at once.
+constexpr double SevereExcessShare = 0.4;
 /// Bad answers from which the time of a rollback counts, and the part of that
 /// time that is left to find out more. Hosts learn the decision in 0.4 s.
 constexpr uint64_t CountedBadAnswers = 50;
@@ -29,6 +32,7 @@
 constexpr double SuspiciousExcess = 2;
 /// Answers below which a version is tested until the end of the ramp.
 constexpr uint64_t MinAnswers = 30;
+constexpr uint64_t MinRouteAnswers = 8;
 /// Requests without any answer that make a version bad: it declines them.
 constexpr uint64_t MaxUnanswered = 5;
 /// Share of the requests between bursts, and the least rate, per second.
@@ -37,11 +41,25 @@
 constexpr double MaxBaseShare = 0.2;
 /// Largest share in a burst, so that the other versions are compared too.
 constexpr double MaxBurstShare = 0.5;
+/// Share and least rate, per second, for some time after the first signs of a
+/// fault: enough for some answers in each slot. Afterwards the budget is saved
+/// for another burst, since the fault may need load to show. The budget may be
+/// exceeded for it by this number and share of the requests.
+constexpr double CheckShare = 0.04;
+constexpr double MinCheckRate = 10;
+constexpr double CheckSlack = 8;
+constexpr double CheckSlackShare = 0.005;
+constexpr Duration CheckTime = Seconds(1);
 constexpr Duration BurstTime = Seconds(1);
-/// Bursts are shorter if the budget for a full one is not there by then, and
-/// none begins before the version has had some requests.
+/// Bursts are shorter from this part of the time until traffic may be moved,
+/// and after signs of a fault, since several are needed to confirm them. None
+/// begins before the version has had some requests.
 constexpr double ShortBurstFrom = 0.4;
+constexpr double ShortBurst = 0.5;
+constexpr double ShortestBurst = 0.33;
 constexpr double FirstBurstFrom = 0.15;
+constexpr Duration BurstEvidenceTime = Milliseconds(600);
+constexpr Duration LastBurstWait = Milliseconds(1500);
 constexpr Duration RateWindow = Seconds(2);
 /// Reports that are older are not a basis for a decision in favour.
 constexpr Duration FreshReport = Milliseconds(1500);
@@ -101,8 +119,13 @@
   bool MustDecide =
       ManyBadSince &&
       Now - *ManyBadSince >= scaled(Limits.RollbackTime, DecisionTimeShare);
-  if (C.isWorse(MustDecide ? FinalScore : EarlyScore))
+  bool IsSevere = C.ExcessShare >= SevereExcessShare;
+  if (C.isWorse(MustDecide || IsSevere ? FinalScore : EarlyScore))
     return condemn("worse");
+  bool WasSuspicious = Suspicious;
+  Suspicious = C.Score >= SuspiciousScore && C.Excess >= SuspiciousExcess;
+  if (Suspicious && !WasSuspicious)
+    SuspiciousSince = Now;
   if (State.Phase == RolloutPhase::Moving)
     return reviewMove(State, Now);
   MovingSince.reset();
@@ -114,14 +137,18 @@
                                          MonotonicTime Now) {
   if (age(Now) < moveAfter() || !State.StoreFresh || !evidenceIsFresh(Now))
     return {};
-  bool AtEnd = age(Now) >= Order.Ramp;
+  // Answers of a burst that has just ended are still under way.
+  bool InBurst = BurstUntil || Now - LastBurstAt < BurstEvidenceTime;
+  bool AtEnd = age(Now) >= Order.Ramp + Duration(LastBurstWait) ||
+               (age(Now) >= Order.Ramp && !InBurst);
   if (NoServersSince)
     return AtEnd && Now - *NoServersSince >= NoServersWait
                ? condemn("no_servers")
                : ReviewDecision{};
   bool HasTraffic = Table.sent() > 0;
   bool Suspicious = C.Score >= SuspiciousScore && C.Excess >= SuspiciousExcess;
-  bool TooLittle = C.TargetAnswers < MinAnswers || BurstsDone == 0;
+  bool TooLittle = C.TargetAnswers < MinAnswers ||
+                   C.LeastRouteAnswers < MinRouteAnswers || BurstsDone == 0;
   if (!AtEnd && HasTraffic && (Suspicious || TooLittle))
     return {};
   if (AtEnd && C.isWorse(FinalScore))
@@ -209,6 +236,7 @@
       std::min(MaxBurstShare, 1.0 / static_cast<double>(Servers.size()));
   if (BurstUntil && (Now >= *BurstUntil || Left <= 0)) {
     BurstUntil.reset();
+    LastBurstAt = Now;
     ++BurstsDone;
   }
   double Cost = Rate * BurstShare * inSeconds(BurstTime);
@@ -222,6 +250,12 @@
   }
   double Base = std::clamp(MinBaseRate / std::max(Rate, MinBaseRate), BaseShare,
                            MaxBaseShare);
+  if (Suspicious && Now - SuspiciousSince >= CheckTime) {
+    Base = 0;
+  } else if (Suspicious) {
+    Base = std::max(CheckShare, MinCheckRate / std::max(Rate, MinCheckRate));
+    Left += CheckSlack + CheckSlackShare * static_cast<double>(Table.sent());
+  }
   Share = Left <= 0 ? 0 : BurstUntil ? BurstShare : std::min(Base, BurstShare);
 }
 
--- a/rollout/rollout_review.h
+++ b/rollout/rollout_review.h
@@ -85,6 +85,9 @@
   EvidenceTable Table;
   bool Bad = false;
   std::string BadReason;
+  /// There are signs of a fault, which may be by chance.
+  bool Suspicious = false;
+  MonotonicTime SuspiciousSince;
   std::optional<MonotonicTime> ManyBadSince;
   std::optional<MonotonicTime> MovingSince;
   std::optional<MonotonicTime> NoServersSince;
@@ -93,6 +96,7 @@
   size_t NextServer = 0;
   std::optional<MonotonicTime> BurstUntil;
   size_t BurstsDone = 0;
+  MonotonicTime LastBurstAt;
   /// Requests sent to the service by the time of a step.
   std::deque<std::pair<MonotonicTime, uint64_t>> SentHistory;
 };
--- a/rollout/service_rollout.cpp
+++ b/rollout/service_rollout.cpp
@@ -14,6 +14,10 @@
 constexpr size_t MaxExcludedVersions = 8;
 /// Trials that a route without requests may save up.
 constexpr double MaxCredit = 2;
+/// Routes with few requests get a share that is greater by up to this factor,
+/// since a version may be bad on one of them only.
+constexpr double MaxRouteBoost = 6;
+constexpr double MaxBoostedShare = 0.5;
 
 bool contains(const std::vector<VersionId> &List, const VersionId &Version) {
   return std::find(List.begin(), List.end(), Version) != List.end();
@@ -54,7 +58,8 @@
   Stopped = false;
   Grant = {};
   Share = 0;
-  Credits.clear();
+  Routes.clear();
+  FirstAttempts = 0;
   Sent = 0;
   SentToTarget = 0;
   Cells.clear();
@@ -148,20 +153,32 @@
   if (Share <= 0)
     return false;
   // A random start, so that not all hosts send their first trial at once.
-  auto [It, IsNew] = Credits.try_emplace(Route, 0);
+  auto [It, IsNew] = Routes.try_emplace(Route);
   if (IsNew)
-    It->second = Rng.uniform01();
-  return It->second >= 1;
+    It->second.Credit = Rng.uniform01();
+  return It->second.Credit >= 1;
+}
+
+double ServiceRollout::shareOf(const RouteTrials &Trials) const {
+  double Mean = static_cast<double>(FirstAttempts) /
+                static_cast<double>(std::max<size_t>(1, Routes.size()));
+  double Boost = std::clamp(
+      Mean / static_cast<double>(std::max<uint64_t>(1, Trials.FirstAttempts)),
+      1.0, MaxRouteBoost);
+  return std::max(Share, std::min(Share * Boost, MaxBoostedShare));
 }
 
 void ServiceRollout::recordFirstAttempt(const RouteId &Route,
                                         const BackendServer &Server) {
-  auto Found = Credits.find(Route);
-  if (Found == Credits.end())
+  auto Found = Routes.find(Route);
+  if (Found == Routes.end())
     return;
-  Found->second = std::min(MaxCredit, Found->second + Share);
+  RouteTrials &Trials = Found->second;
+  ++Trials.FirstAttempts;
+  ++FirstAttempts;
+  Trials.Credit = std::min(MaxCredit, Trials.Credit + shareOf(Trials));
   if (isTarget(Server))
-    Found->second = std::max(0.0, Found->second - 1);
+    Trials.Credit = std::max(0.0, Trials.Credit - 1);
 }
 
 void ServiceRollout::recordSend(const BackendServer &Server) {
--- a/rollout/service_rollout.h
+++ b/rollout/service_rollout.h
@@ -110,8 +110,15 @@
   MonotonicTime GrantedAt;
   /// Share in force at the last trialDue().
   double Share = 0;
-  /// First attempts that are due at the trial server.
-  std::unordered_map<RouteId, double> Credits;
+  struct RouteTrials {
+    /// First attempts that are due at the trial server.
+    double Credit = 0;
+    uint64_t FirstAttempts = 0;
+  };
+  /// Share of the first attempts on a route that go to the trial server.
+  double shareOf(const RouteTrials &Trials) const;
+  std::unordered_map<RouteId, RouteTrials> Routes;
+  uint64_t FirstAttempts = 0;
   uint64_t Sent = 0;
   uint64_t SentToTarget = 0;
   std::map<CellKey, AnswerCounts> Cells;
--- a/tools/ctl_commands.cpp
+++ b/tools/ctl_commands.cpp
@@ -114,9 +114,12 @@
                       print the lines of a request and related events from
                       logs of mimosa-entry, and the cause of the request's
                       outcome; without LOG, read standard input
+  rollouts STORE [SERVICE]
+                      print the orders to move traffic in the store at STORE:
+                      state, evidence and who decided
   check SETTINGS      check a settings file of mimosa-entry or its template
 
-explain and check need no --daemon.
+explain, check and rollouts need no --daemon.
 
 apply fails if FILE was made from another revision than the active one, and
 prints what the other operator changed. The revision from which FILE was made
--- a/tools/ctl_local.h
+++ b/tools/ctl_local.h
@@ -9,10 +9,11 @@
 
 namespace mimosa {
 
-/// Runs "explain REQUEST-ID [LOG...]" or "check SETTINGS" and returns the exit
-/// status: 0 done; 1 a log cannot be read, no log has a line of the request, or
-/// the settings have problems; 2 wrong usage. Returns nothing if \p Words is
-/// another command.
+/// Runs "explain REQUEST-ID [LOG...]", "check SETTINGS" or "rollouts STORE
+/// [SERVICE]" and returns the exit status: 0 done; 1 a log cannot be read, no
+/// log has a line of the request, the settings have problems, or the store
+/// cannot be read or has no such roll-out; 2 wrong usage. Returns nothing if \p
+/// Words is another command.
 std::optional<int> runLocalCommand(const std::vector<std::string> &Words);
 
 } // namespace mimosa
--- a/tools/platform_stand_in.py
+++ b/tools/platform_stand_in.py
@@ -251,6 +251,8 @@
         self.version = version
         #: Every so many runs, the answer is a failure; 0 for none.
         self.fail_every = 0
+        #: Arrivals whose answers were failures or took longer than 0.1 s.
+        self.bad_arrivals: list[float] = []
         self.name = name
         self.zone = zone
         self.records = records or []
@@ -289,6 +291,8 @@
             self.runs.append((request_id, f"{request.command} {request.path}", body))
             fails = self.fail_every > 0 and len(self.runs) % self.fail_every == 0
         time.sleep(self.delay_s)
+        if fails or self.delay_s > 0.1:
+            self.bad_arrivals.append(time.monotonic())
         if fails:
             return request.respond(500, b"", {"Attempt-Id": request_id})
         if self.loses_answers:
