Test roll-outs of good versions, lost hosts and replaced orders

Cause: traffic was moved to a version that could not be tested, a host that stood still granted by an old review, and a tenth of bad answers at 1,000 requests a second was found too late.

Change: a version must have been tested for a part of the ramp; grants end while the copy of the store is old; tests go on until the decision is due.

--- a/entry/rollout_driver.cpp
+++ b/entry/rollout_driver.cpp
@@ -355,8 +355,11 @@
                            MonotonicTime Now) {
   RolloutReview *Review = reviewOf(Rollout, Service, Now);
   ReviewDecision Decision = Review->step(reviewState(Service, Rollout), Now);
+  // At the start of an order, no reviewer has replied yet.
+  bool IsTooEarly =
+      Reviewers.front() != Self && Rollout.orderAge(Now) < ReviewerTimeout;
   if (Decision.Step == ReviewStep::None || actingReviewer(Now) != Self ||
-      Now < States[Service].WriteAgainAt)
+      IsTooEarly || Now < States[Service].WriteAgainAt)
     return;
   RolloutStatus Next;
   Next.Service = Service;
--- a/rollout/evidence_table.cpp
+++ b/rollout/evidence_table.cpp
@@ -30,6 +30,10 @@
 /// share: single failures have other causes.
 constexpr double MinExcess = 4;
 constexpr double MinExcessShare = 0.04;
+/// If the other versions have bad answers too, the share in excess must be this
+/// many times theirs, up to a share that is sufficient in any case.
+constexpr double MinExcessFactor = 1.5;
+constexpr double SufficientExcessShare = 0.3;
 /// For worseThanBefore(): a slot counts if the share of bad answers is higher
 /// than before by this much.
 constexpr double ClearlyWorseShare = 0.2;
@@ -85,8 +89,9 @@
 }
 
 bool Comparison::isWorse(double MinScore) const {
-  return Score >= MinScore && Excess >= MinExcess &&
-         ExcessShare >= MinExcessShare;
+  double MinShare = std::clamp(ExpectedShare * MinExcessFactor, MinExcessShare,
+                               SufficientExcessShare);
+  return Score >= MinScore && Excess >= MinExcess && ExcessShare >= MinShare;
 }
 
 std::string Comparison::text() const {
@@ -198,6 +203,7 @@
                                   size_t Limit) {
   double Sum = 0;
   double LimitedSum = 0;
+  double Expected = 0;
   double SumOfSquares = 0;
   double Variance = 0;
   double Compared = 0;
@@ -218,6 +224,7 @@
     double SlotVariance =
         N1 * N2 * Bad * (N - Bad) / (N * N * std::max(1.0, N - 1));
     Sum += Difference;
+    Expected += N1 * Bad / N;
     LimitedSum += Limited;
     SumOfSquares += Limited * Limited;
     Variance += std::min(SlotVariance, MaxSlotDifference * MaxSlotDifference);
@@ -242,6 +249,7 @@
   Out.Score = Scale > 0 ? LimitedSum / Scale : 0;
   Out.Excess = Sum;
   Out.ExcessShare = Compared > 0 ? Sum / Compared : 0;
+  Out.ExpectedShare = Compared > 0 ? Expected / Compared : 0;
   Out.WorstRoute = Route;
   return Out;
 }
@@ -253,6 +261,7 @@
   Score = Other.Score;
   Excess = Other.Excess;
   ExcessShare = Other.ExcessShare;
+  ExpectedShare = Other.ExpectedShare;
   WorstRoute = Other.WorstRoute;
 }
 
--- a/rollout/evidence_table.h
+++ b/rollout/evidence_table.h
@@ -69,6 +69,8 @@
   double Score = 0;
   double Excess = 0;
   double ExcessShare = 0;
+  /// The expected share of bad answers.
+  double ExpectedShare = 0;
   RouteId WorstRoute;
 
   bool isWorse(double MinScore) const;
--- a/rollout/rollout_review.cpp
+++ b/rollout/rollout_review.cpp
@@ -15,7 +15,13 @@
 /// Time from the move of the traffic to the end of the ramp.
 constexpr Duration MoveTime = Seconds(3);
 constexpr double MinTestShare = 0.6;
-/// Score from which a version is bad, before and at the end of the ramp. The
+/// The same if the test takes as long as possible. With signs of a fault, all
+/// of the ramp is used.
+constexpr Duration LateMoveTime = Seconds(1);
+/// Part of the time until traffic may be moved in which the version must have
+/// been granted requests.
+constexpr double MinTestedShare = 0.4;
+/// Score from which a version is bad, before and at the end of the test. The
 /// first takes nine equal slots (2.25 s) and the second five, more than a fault
 /// of 1 s.
 constexpr double EarlyScore = 3;
@@ -23,9 +29,11 @@
 /// Bad answers above the expected ones, as a share of the answers, from which
 /// the lower score is sufficient at once.
 constexpr double SevereExcessShare = 0.4;
-/// Bad answers from which the time of a rollback counts, and the part of that
-/// time that is left to find out more. Hosts learn the decision in 0.4 s.
-constexpr uint64_t CountedBadAnswers = 50;
+/// The time of a rollback counts from the 50th bad answer. Fewer are counted
+/// here, since some are seen late or are not recognized as slow. Then the part
+/// of that time that is left to find out more: hosts learn the decision in 0.4
+/// s.
+constexpr uint64_t CountedBadAnswers = 40;
 constexpr double DecisionTimeShare = 0.3;
 /// Score and excess from which a version is tested until the end of the ramp.
 constexpr double SuspiciousScore = 1.4;
@@ -39,8 +47,8 @@
 constexpr double BaseShare = 0.01;
 constexpr double MinBaseRate = 1.5;
 constexpr double MaxBaseShare = 0.2;
-/// Largest share in a burst, so that the other versions are compared too.
-constexpr double MaxBurstShare = 0.5;
+/// Largest share in a burst, so that it lasts for several slots.
+constexpr double MaxBurstShare = 0.34;
 /// Share and least rate, per second, for some time after the first signs of a
 /// fault: enough for some answers in each slot. Afterwards the budget is saved
 /// for another burst, since the fault may need load to show. The budget may be
@@ -50,6 +58,7 @@
 constexpr double CheckSlack = 8;
 constexpr double CheckSlackShare = 0.005;
 constexpr Duration CheckTime = Seconds(1);
+constexpr Duration DecisionCheckTime = Seconds(2);
 constexpr Duration BurstTime = Seconds(1);
 /// Bursts are shorter from this part of the time until traffic may be moved,
 /// and after signs of a fault, since several are needed to confirm them. None
@@ -59,7 +68,7 @@
 constexpr double ShortestBurst = 0.33;
 constexpr double FirstBurstFrom = 0.15;
 constexpr Duration BurstEvidenceTime = Milliseconds(600);
-constexpr Duration LastBurstWait = Milliseconds(1500);
+constexpr Duration LastBurstWait = Seconds(1);
 constexpr Duration RateWindow = Seconds(2);
 /// Reports that are older are not a basis for a decision in favour.
 constexpr Duration FreshReport = Milliseconds(1500);
@@ -77,11 +86,21 @@
 
 } // namespace
 
+RolloutReview::RolloutReview(RolloutOrder Order, RolloutLimits Limits,
+                             MonotonicTime SeenAt)
+    : Order(std::move(Order)), Limits(Limits), OrderAt(SeenAt),
+      LastStepAt(SeenAt), FreshSince(SeenAt - MaxStepGap) {}
+
 Duration RolloutReview::moveAfter() const {
   return std::max(scaled(Order.Ramp, MinTestShare),
                   Order.Ramp - Duration(MoveTime));
 }
 
+Duration RolloutReview::testEnd() const {
+  Duration Margin = Suspicious ? Duration(0) : Duration(LateMoveTime);
+  return std::max(moveAfter(), Order.Ramp - Margin);
+}
+
 void RolloutReview::applyEvidence(const HostId &Sender,
                                   Incarnation SenderIncarnation,
                                   const ServiceEvidence &Evidence,
@@ -100,6 +119,8 @@
                                    MonotonicTime Now) {
   if (Now - LastStepAt > MaxStepGap)
     FreshSince = Now;
+  if (Share > 0)
+    TestedTime += Now - LastStepAt;
   LastStepAt = Now;
   if (!State.TargetServers.empty())
     NoServersSince.reset();
@@ -139,14 +160,17 @@
     return {};
   // Answers of a burst that has just ended are still under way.
   bool InBurst = BurstUntil || Now - LastBurstAt < BurstEvidenceTime;
-  bool AtEnd = age(Now) >= Order.Ramp + Duration(LastBurstWait) ||
-               (age(Now) >= Order.Ramp && !InBurst);
+  bool AtEnd = age(Now) >= testEnd() + Duration(LastBurstWait) ||
+               (age(Now) >= testEnd() && !InBurst);
   if (NoServersSince)
     return AtEnd && Now - *NoServersSince >= NoServersWait
                ? condemn("no_servers")
                : ReviewDecision{};
   bool HasTraffic = Table.sent() > 0;
   bool Suspicious = C.Score >= SuspiciousScore && C.Excess >= SuspiciousExcess;
+  // Backend servers that came late, or an outage of the store, left no time.
+  if (HasTraffic && TestedTime < scaled(moveAfter(), MinTestedShare))
+    return {};
   bool TooLittle = C.TargetAnswers < MinAnswers ||
                    C.LeastRouteAnswers < MinRouteAnswers || BurstsDone == 0;
   if (!AtEnd && HasTraffic && (Suspicious || TooLittle))
@@ -224,7 +248,10 @@
   double Rate = requestRate(Now);
   double Left = allowance(Now);
   const std::vector<BackendServerId> &Servers = State.TargetServers;
-  if (Servers.empty() || Bad || State.Phase != RolloutPhase::Testing) {
+  // After standing still, this host may not know that the order was decided.
+  bool MayBeOutdated = !State.StoreFresh || Now - FreshSince < MaxStepGap;
+  if (Servers.empty() || Bad || MayBeOutdated ||
+      State.Phase != RolloutPhase::Testing) {
     Share = 0;
     BurstUntil.reset();
     return;
@@ -250,7 +277,10 @@
   }
   double Base = std::clamp(MinBaseRate / std::max(Rate, MinBaseRate), BaseShare,
                            MaxBaseShare);
-  if (Suspicious && Now - SuspiciousSince >= CheckTime) {
+  // From many bad answers on, the decision cannot wait for another burst.
+  bool Checks = Now - SuspiciousSince < CheckTime ||
+                (ManyBadSince && Now - *ManyBadSince < DecisionCheckTime);
+  if (Suspicious && !Checks) {
     Base = 0;
   } else if (Suspicious) {
     Base = std::max(CheckShare, MinCheckRate / std::max(Rate, MinCheckRate));
@@ -264,7 +294,8 @@
   Out.Service = Order.Service;
   Out.Order = Order.Revision;
   Out.OrderAge = age(Now);
-  Out.Share = Share;
+  // This host stood still and has not looked at the store since.
+  Out.Share = Now - LastStepAt > MaxStepGap ? 0 : Share;
   Out.Server = Server;
   Out.Stop = Bad;
   return Out;
--- a/rollout/rollout_review.h
+++ b/rollout/rollout_review.h
@@ -45,9 +45,7 @@
 /// See the head of this file. The times that are passed in must not decrease.
 class RolloutReview {
 public:
-  RolloutReview(RolloutOrder Order, RolloutLimits Limits, MonotonicTime SeenAt)
-      : Order(std::move(Order)), Limits(Limits), OrderAt(SeenAt),
-        LastStepAt(SeenAt), FreshSince(SeenAt) {}
+  RolloutReview(RolloutOrder Order, RolloutLimits Limits, MonotonicTime SeenAt);
 
   const RolloutOrder &order() const { return Order; }
   void applyEvidence(const HostId &Sender, Incarnation SenderIncarnation,
@@ -63,6 +61,8 @@
   Duration age(MonotonicTime Now) const { return Now - OrderAt; }
   /// When traffic may be moved.
   Duration moveAfter() const;
+  /// When the test ends, whatever is known by then.
+  Duration testEnd() const;
   ReviewDecision reviewTest(const ReviewState &State, const Comparison &C,
                             MonotonicTime Now);
   ReviewDecision reviewMove(const ReviewState &State, MonotonicTime Now);
@@ -92,6 +92,8 @@
   std::optional<MonotonicTime> MovingSince;
   std::optional<MonotonicTime> NoServersSince;
   double Share = 0;
+  /// How long the version has been granted requests.
+  Duration TestedTime{0};
   BackendServerId Server;
   size_t NextServer = 0;
   std::optional<MonotonicTime> BurstUntil;
--- a/rollout/rollout_simulation_test_util.h
+++ b/rollout/rollout_simulation_test_util.h
@@ -48,6 +48,7 @@
   static constexpr Duration Step = Milliseconds(10);
   static constexpr Duration ReportInterval = Milliseconds(200);
   static constexpr Duration StoreDelay = Milliseconds(100);
+  static constexpr Duration ResumedHostDelay = Milliseconds(600);
 
   struct Host {
     Host(const ServiceId &Service, Random &Rng)
@@ -106,6 +107,12 @@
     publish();
   }
 
+  /// Lets a host go on, which learns what the store holds some time later.
+  void resume(size_t Number) {
+    Hosts[Number]->Down = false;
+    PublishAt = Now + ResumedHostDelay;
+  }
+
   /// Runs until a decision about the current order, at most for \p Limit.
   void runUntilDecided(Duration Limit) {
     MonotonicTime End = Now + Limit;
