--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -107,6 +107,8 @@
       Feed(Loop, Store, Self, Options.Seeds, Options.Relaying, *this),
       Quota(Loop, Feed.peers(), Options.PeerAddress, Incarnation(Seed),
             Options.Quota, Metrics, [this] { return Feed.cacheAge(); }),
+      Rollouts(Loop, Registry, Scheduler, Feed, Store, Metrics, Rng, Self,
+               Incarnation(Seed), Options.Rollout),
       Pages(Directory), MetricsHandler(*this),
       CallerServer(Loop, serverOptions(Options.CallerAddress, CallerIngress),
                    Service),
@@ -136,6 +138,7 @@
 void EntryNode::applySettings() {
   Scheduler.setRetryBudget(Options.RetryBudget);
   Registry.setColdAllowance(Options.ColdOverage, Options.ColdSlack);
+  Rollouts.setLimits(Options.Rollout);
 }
 
 void EntryNode::registerGauges() {
@@ -221,6 +224,7 @@
   LogFlushTimer = Loop.every(LogFlushInterval, [] { flushLog(); });
   Quota.start(Options.Seeds);
   Feed.start();
+  Rollouts.start();
   logInfo("node", "event=started host=" + Options.HostName +
                       " zone=" + Options.Zone.text() + " callers=" +
                       Options.CallerAddress + " store=" + Options.StoreAddress);
@@ -323,6 +327,7 @@
   for (const EntryHost &Host : Hosts)
     Listed.push_back(candidateOf(Host));
   OwnRegistration.setListed(Listed, Loop.now());
+  Rollouts.setHosts(Hosts);
   OtherHosts.clear();
   for (const EntryHost &Host : Hosts)
     if (Host.PeerAddress != Self.PeerAddress)
@@ -360,6 +365,10 @@
     Quota.handleReport(Frame);
     return true;
   }
+  if (Frame.Type == MessageType::RolloutEvidence) {
+    Rollouts.handleEvidence(Frame, Reply);
+    return true;
+  }
   if (Frame.Type != MessageType::StrikeNotice)
     return Feed.peerHandler().handleFrame(Frame, std::move(Reply));
   Result<StrikeNotice> Notice = unpackBody<StrikeNotice>(Frame.Body);
@@ -401,6 +410,7 @@
   Options.RetryBudget = NewOptions.RetryBudget;
   Options.ColdOverage = NewOptions.ColdOverage;
   Options.ColdSlack = NewOptions.ColdSlack;
+  Options.Rollout = NewOptions.Rollout;
   Options.StopLimit = NewOptions.StopLimit;
   applySettings();
   logInfo("node", "event=reloaded");
--- a/entry/entry_options.h
+++ b/entry/entry_options.h
@@ -6,6 +6,7 @@
 #include "balance/retry_budget.h"
 #include "base/ids.h"
 #include "base/time.h"
+#include "rollout/rollout_order.h"
 #include "shared_limit/shared_limits.h"
 #include "store_cache/store_cache_relay.h"
 
@@ -40,12 +41,14 @@
   double ColdSlack = 5;
   /// Bound on the requests of a team in any window, see SharedLimitOptions.
   SharedLimitOptions Quota;
+  RolloutLimits Rollout;
   /// A withdrawn key is not accepted beyond RevocationLimit, even if this host
   /// cannot find out whether it was withdrawn.
   bool StrictRevocation = false;
   Duration RevocationLimit = Milliseconds(5000);
   /// How long callers may keep an address. A lookup precedes the request that
-  /// needs it and takes two round trips, a quarter of a target latency of 50 ms.
+  /// needs it and takes two round trips, a quarter of a target latency of 50
+  /// ms.
   Duration AddressLifetime = Seconds(5);
   /// Longest time from a termination signal to the end of the process.
   Duration StopLimit = Milliseconds(6000);
--- a/runtime/peer.h
+++ b/runtime/peer.h
@@ -49,6 +49,7 @@
   ClaimOutcome = 24,
   LiftedLimits = 25,
   SharedUsage = 26,
+  RolloutEvidence = 27,
   Dispatch = 30,
   DispatchReply = 31,
   DispatchCancel = 32,
--- a/tools/platform_stand_in.py
+++ b/tools/platform_stand_in.py
@@ -47,9 +47,9 @@
 
 
 def server_entry(service: str, address: str, zone: str, state: str, sequence: int,
-                 started_at: int = 1) -> dict[str, Any]:
+                 started_at: int = 1, version: str = "v1") -> dict[str, Any]:
     """Returns the value of the key servers/<id> by which a searcher registers itself."""
-    return {"service": service, "address": address, "zone": zone, "version": "v1",
+    return {"service": service, "address": address, "zone": zone, "version": version,
             "slots": 4, "state": state, "coldLeftMs": 0, "sequence": sequence, "born": started_at}
 
 
@@ -316,10 +316,11 @@
             self._end_lease(lease)
             return 200, {}
         if name == "kv-txn":
-            unmet = [key for key, revision in _conditions(body)
-                     if self.items.get(key, {}).get("revision", 0) != revision]
-            if unmet:
-                return 412, {"items": [self.items[key] for key in unmet if key in self.items]}
+            conditions = _conditions(body)
+            if any(self.items.get(key, {}).get("revision", 0) != revision
+                   for key, revision in conditions):
+                return 412, {"items": [self.items[key] for key, _ in conditions
+                                       if key in self.items]}
             for write in body["writes"]:
                 if write["lease"] and write["lease"] not in self.leases:
                     return 404, {}
@@ -349,8 +350,13 @@
     """A searcher. ``runs`` lists the requests that it ran: id, request line and body."""
 
     def __init__(self, service: str, name: str, records: list[bytes] | None = None,
-                 zone: str = "z1") -> None:
+                 zone: str = "z1", version: str = "v1") -> None:
         self.service = service
+        self.version = version
+        #: Every so many runs, the answer is a failure; 0 for none.
+        self.fail_every = 0
+        #: Arrivals whose answers were failures or took longer than 0.1 s.
+        self.bad_arrivals: list[float] = []
         self.name = name
         self.zone = zone
         self.records = records or []
@@ -369,7 +375,8 @@
 
     def entry(self, state: str = "ready") -> dict[str, Any]:
         self.sequence += 1
-        return server_entry(self.service, self.address, self.zone, state, self.sequence)
+        return server_entry(self.service, self.address, self.zone, state, self.sequence,
+                            version=self.version)
 
     def stamp(self, request_id: str) -> str:
         return f"{self.name}.{request_id}"
@@ -386,7 +393,12 @@
                 "Not-Executed": "1", "Attempt-Id": request_id, **self.headers})
         with self._lock:
             self.runs.append((request_id, f"{request.command} {request.path}", body))
+            fails = self.fail_every > 0 and len(self.runs) % self.fail_every == 0
         time.sleep(self.delay_s)
+        if fails or self.delay_s > 0.1:
+            self.bad_arrivals.append(time.monotonic())
+        if fails:
+            return request.respond(500, b"", {"Attempt-Id": request_id})
         if self.loses_answers:
             request.close_connection = True
             return None
