Bound sizes that other hosts choose, and share the body of all attempts

Cause: a query sent its body to each shard from a copy of its own, and idle connections to backend servers kept their last request. Change: attempts of a request share its body (EncodedRequest); the request is freed once it is written.

--- a/base/message_codec.h
+++ b/base/message_codec.h
@@ -119,7 +119,7 @@
 
 /// Decoding takes about 24 bytes for each object. The messages of hosts have
 /// more bytes for each object than this, as their fields have names.
-constexpr size_t MinBytesPerObject = 4;
+constexpr size_t MinBytesPerObject = 3;
 /// Short messages may have this many objects in any case.
 constexpr size_t MinObjectLimit = 4096;
 
--- a/entry/backend_connection_pool.cpp
+++ b/entry/backend_connection_pool.cpp
@@ -91,19 +91,20 @@
   ActiveChannels[Id] = Channel;
   Channel->exchange([this, Message = Request.Message,
                      Deadline = Request.Deadline,
-                     Server] { return encode(*Message, Deadline, *Server); },
+                     Server] { return encode(Message, Deadline, *Server); },
                     Request.Message->IsHeadRequest, Request.MaxAnswerBytes);
 }
 
-std::optional<std::string>
-BackendConnectionPool::encode(const CallerRequest &Message,
-                              MonotonicTime Deadline,
-                              const BackendServer &Server) {
+std::optional<EncodedRequest> BackendConnectionPool::encode(
+    const std::shared_ptr<const CallerRequest> &Message, MonotonicTime Deadline,
+    const BackendServer &Server) {
   MonotonicTime Now = Loop.now();
   if (Registry.usable(Server) && Now >= Server.pushback().pausedUntil())
-    return encodeBackendRequest(Message, Deadline - Now, Server.entry().Id);
+    return EncodedRequest{
+        encodeBackendHead(*Message, Deadline - Now, Server.entry().Id),
+        std::shared_ptr<const std::string>(Message, &Message->Body)};
   ++Counters.Withheld;
-  logRequest("backend", "event=withheld request=" + Message.Id.text() +
+  logRequest("backend", "event=withheld request=" + Message->Id.text() +
                             " server=" + Server.entry().Id.text() + " " +
                             Server.pushback().describe(Now));
   return std::nullopt;
--- a/entry/backend_connection_pool.h
+++ b/entry/backend_connection_pool.h
@@ -90,9 +90,9 @@
 
   /// The bytes of a request that is sent now; empty if \p Server must not get
   /// it any more.
-  std::optional<std::string> encode(const CallerRequest &Message,
-                                    MonotonicTime Deadline,
-                                    const BackendServer &Server);
+  std::optional<EncodedRequest>
+  encode(const std::shared_ptr<const CallerRequest> &Message,
+         MonotonicTime Deadline, const BackendServer &Server);
   /// Ends the attempt on a connection whose answer cannot be trusted.
   void loseUntrusted(HttpChannel &Channel);
   HttpChannel *takeIdle(const BackendServerPtr &Server, bool FreshOnly);
--- a/runtime/http_channel.cpp
+++ b/runtime/http_channel.cpp
@@ -3,6 +3,7 @@
 #include "runtime/asio_fiber.h"
 #include "runtime/received_body.h"
 
+#include <array>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <netinet/tcp.h>
@@ -60,6 +61,9 @@
   void closeSoon(ChannelCloseReason Reason);
   void resetParser();
   void write();
+  std::array<asio::const_buffer, 2> unwritten() const;
+  /// Frees the request once it is sent: its connection may stay open for long.
+  void releaseRequest();
   void waitWritable();
   void waitReadable();
   void onReadable(error_code Failure);
@@ -78,8 +82,9 @@
   beast::flat_buffer Buffer;
   std::optional<ResponseParser> Parser;
   RequestEncoder Encode;
-  /// Empty until the connection is established.
-  std::string Request;
+  /// The encoded request; empty until the connection is established, and after
+  /// all of it has been written.
+  EncodedRequest Request;
   size_t Written = 0;
   size_t MaxBodyBytes = 0;
   /// For the body of the response that is being received.
@@ -122,7 +127,7 @@
 }
 
 bool Channel::encode() {
-  std::optional<std::string> Encoded = Encode();
+  std::optional<EncodedRequest> Encoded = Encode();
   if (Encoded)
     Request = std::move(*Encoded);
   return Encoded.has_value();
@@ -143,7 +148,7 @@
 void Channel::exchange(RequestEncoder NewEncode, bool IsHead,
                        size_t NewMaxBodyBytes) {
   Encode = std::move(NewEncode);
-  Request.clear();
+  Request = {};
   Written = 0;
   MaxBodyBytes = NewMaxBodyBytes;
   UnexpectedResponses = 0;
@@ -156,21 +161,38 @@
   if (!encode())
     return closeSoon(ChannelCloseReason::NothingSent);
   error_code Failure;
-  Written = Socket.write_some(asio::buffer(Request), Failure);
+  Written = Socket.write_some(unwritten(), Failure);
   if (Failure && Failure != asio::error::would_block)
     closeSoon(ChannelCloseReason::Lost);
   else if (Written < Request.size())
     waitWritable();
+  else
+    releaseRequest();
 }
 
 void Channel::write() {
   error_code Failure;
-  Written += Socket.write_some(asio::buffer(Request) + Written, Failure);
+  Written += Socket.write_some(unwritten(), Failure);
   if (Failure && Failure != asio::error::would_block)
     return closeWith(Written == 0 ? ChannelCloseReason::NothingSent
                                   : ChannelCloseReason::Lost);
   if (Written < Request.size())
     waitWritable();
+  else
+    releaseRequest();
+}
+
+std::array<asio::const_buffer, 2> Channel::unwritten() const {
+  asio::const_buffer Head = asio::buffer(Request.Head);
+  asio::const_buffer Body =
+      Request.Body ? asio::buffer(*Request.Body) : asio::const_buffer();
+  return {Head + Written,
+          Body + (Written > Head.size() ? Written - Head.size() : 0)};
+}
+
+void Channel::releaseRequest() {
+  Request = {};
+  Written = 0;
 }
 
 void Channel::waitWritable() {
--- a/runtime/http_channel.h
+++ b/runtime/http_channel.h
@@ -46,9 +46,18 @@
 
 class HttpChannel;
 
-/// Returns the bytes of a request that is sent now; empty if it must not be
-/// sent any more.
-using RequestEncoder = std::function<std::optional<std::string>()>;
+/// A request as it is sent.
+struct EncodedRequest {
+  std::string Head;
+  /// May be empty. It is not copied, since a query sends one body to each
+  /// shard.
+  std::shared_ptr<const std::string> Body;
+
+  size_t size() const { return Head.size() + (Body ? Body->size() : 0); }
+};
+
+/// Returns a request that is sent now; empty if it must not be sent any more.
+using RequestEncoder = std::function<std::optional<EncodedRequest>()>;
 
 /// Event handlers of channels.
 class HttpChannelEvents {
--- a/runtime/http_server.cpp
+++ b/runtime/http_server.cpp
@@ -36,9 +36,9 @@
 /// parser; an HttpHeader, which holds short texts itself, in a request.
 constexpr size_t ParsedFieldBytes = 96;
 constexpr size_t CopiedFieldBytes = 80;
-/// A request in progress holds its body three times: as received, as part of
-/// the request that is forwarded, and encoded for a backend server.
-constexpr size_t BodyCopies = 3;
+/// A request in progress holds its body twice: as received, and as part of the
+/// request that all attempts share.
+constexpr size_t BodyCopies = 2;
 /// Budget of a server without HttpServerOptions::Ingress: no limit.
 constexpr IngressAmounts UnlimitedAmounts{size_t(1) << 40, size_t(1) << 40};
 /// In seconds. Callers of a host that shuts down can turn to other hosts.
--- a/store_cache/messages.cpp
+++ b/store_cache/messages.cpp
@@ -1,5 +1,6 @@
 #include "store_cache/messages.h"
 
+#include <algorithm>
 #include <zlib.h>
 
 namespace mimosa {
@@ -9,6 +10,8 @@
 constexpr size_t MinCompressedBytes = 1024;
 /// Bounds the memory that a reply of another host can take up.
 constexpr size_t MaxItemBytes = 32 << 20;
+/// Deflate does not expand a byte to more; a longer announced length is wrong.
+constexpr size_t MaxExpansion = 1032;
 } // namespace
 
 StoreCacheReply makeReply(const StoreChanges &Changes) {
@@ -54,10 +57,12 @@
 Result<Done> decompressItems(StoreCacheReply &Reply) {
   if (Reply.CompressedItems.empty())
     return Done{};
-  if (Reply.ItemBytes > MaxItemBytes)
+  size_t Allowed =
+      std::min(MaxItemBytes, Reply.CompressedItems.size() * MaxExpansion);
+  if (Reply.ItemBytes > Allowed)
     return Error{ResultCode::BadFrame,
                  "the items have " + std::to_string(Reply.ItemBytes) +
-                     " bytes, allowed are " + std::to_string(MaxItemBytes)};
+                     " bytes, allowed are " + std::to_string(Allowed)};
   std::string Packed(Reply.ItemBytes, '\0');
   uLongf Length = Packed.size();
   int Outcome =
--- a/store_cache/store_cache_relay.cpp
+++ b/store_cache/store_cache_relay.cpp
@@ -19,6 +19,9 @@
 /// Requests that wait for a reply. Each of 540 hosts waits for one at a time;
 /// more are of other clients.
 constexpr size_t MaxWaitingRequests = 4096;
+/// Followers ask for the changes since one of the latest few revisions. Other
+/// clients may ask for those since any.
+constexpr size_t MaxCompressedReplies = 16;
 /// Longer waits are shortened to this one; followers ask for less.
 constexpr Duration MaxWait = Seconds(10);
 /// Interval of the log line on replies to followers.
@@ -70,7 +73,8 @@
 StoreCacheReply StoreCacheRelay::makeReplyFor(const PendingRequest &Request) {
   StoreCacheReply Out;
   if (Cache.hasListing() && Request.AcceptsCompressed) {
-    if (CompressedAt != Cache.revision())
+    if (CompressedAt != Cache.revision() ||
+        Compressed.size() >= MaxCompressedReplies)
       Compressed.clear();
     CompressedAt = Cache.revision();
     auto [Found, IsNew] = Compressed.try_emplace(Request.After);
