--- a/runtime/http_server.cpp
+++ b/runtime/http_server.cpp
@@ -36,9 +36,9 @@
 /// parser; an HttpHeader, which holds short texts itself, in a request.
 constexpr size_t ParsedFieldBytes = 96;
 constexpr size_t CopiedFieldBytes = 80;
-/// A request in progress holds its body three times: as received, as part of
-/// the request that is forwarded, and encoded for a backend server.
-constexpr size_t BodyCopies = 3;
+/// A request in progress holds its body twice: as received, and as part of the
+/// request that all attempts share.
+constexpr size_t BodyCopies = 2;
 /// Budget of a server without HttpServerOptions::Ingress: no limit.
 constexpr IngressAmounts UnlimitedAmounts{size_t(1) << 40, size_t(1) << 40};
 /// In seconds. Callers of a host that shuts down can turn to other hosts.
@@ -183,6 +183,8 @@
   /// buffer.
   size_t ParsedLines = 0;
   size_t BufferedLines = 0;
+  /// The parser of the request that is being received, if any.
+  RequestParser *CurrentParser = nullptr;
   /// Whether a request has begun to arrive and is not handled yet.
   bool Receiving = false;
   /// When the latest bytes were ready to be read.
@@ -220,6 +222,12 @@
   if (Receiving)
     Socket.write_some(asio::buffer(encodeResponse(memoryRefusal(), false)),
                       Ignored);
+  // Frees the memory now: many connections may be evicted before the fiber of
+  // this one runs, which waits for bytes or for room to write.
+  if (CurrentParser)
+    CurrentParser->release();
+  Buffer.clear();
+  Buffer.shrink_to_fit();
   close();
 }
 
@@ -278,7 +286,7 @@
     if (!Readable && !ReadEvent.waitUntil(Deadline))
       return ReadResult::TimedOut;
     ReadEvent.clear();
-    if (!Readable)
+    if (!Readable || Closed)
       continue;
     Readable = false;
     error_code Failure;
@@ -629,6 +637,7 @@
     serve();
   } catch (const std::exception &E) {
     ++Counters.Exceptions;
+    CurrentParser = nullptr;
     if (std::exchange(InFlight, false))
       --Server.InFlight;
     logError("http", "event=connection_failed connection=" +
@@ -641,7 +650,10 @@
   setSocketOptions();
   while (awaitFirstByte()) {
     RequestParser Parser;
-    if (!readRequest(Parser) || !handleRequest(Parser))
+    CurrentParser = &Parser;
+    bool Complete = readRequest(Parser);
+    CurrentParser = nullptr;
+    if (!Complete || !handleRequest(Parser))
       break;
     BodyShare.reset();
   }
--- a/store_cache/store_cache_relay.cpp
+++ b/store_cache/store_cache_relay.cpp
@@ -20,6 +20,9 @@
 /// Requests that wait for a reply. Each of 540 hosts waits for one at a time;
 /// more are of other clients.
 constexpr size_t MaxWaitingRequests = 4096;
+/// Followers ask for the changes since one of the latest few revisions. Other
+/// clients may ask for those since any.
+constexpr size_t MaxCompressedReplies = 16;
 /// Longer waits are shortened to this one; followers ask for less.
 constexpr Duration MaxWait = Seconds(10);
 /// Interval of the log line on replies to followers.
@@ -89,6 +92,8 @@
   StoreCacheReply Out;
   if (Cache.hasListing() && Request.AcceptsCompressed) {
     refreshCompressed();
+    if (Compressed.size() >= MaxCompressedReplies)
+      Compressed.clear();
     auto [Found, IsNew] = Compressed.try_emplace(Request.After);
     if (IsNew) {
       Found->second = makeReply(Cache.changesSince(Request.After));
