--- a/tools/restore_test.py
+++ b/tools/restore_test.py
@@ -316,6 +316,22 @@
         self.assertEqual(drill.served_version(drill.start_host()), 2)
         self.assertEqual(drill.problems, [])
 
+    def test_host_that_missed_a_lost_configuration_learns_it_from_others(self) -> None:
+        # Guards against a host that stays at an older version after a restore, because it had not
+        # yet received the newer one that the others have applied and that the copy lacks.
+        drill = Drill(2, 2, started=2)
+        self.addCleanup(drill.close)
+        drill.await_all_named()
+        older = drill.store.copy()
+        drill.proxies[1].inject(Mode.DROP_ALL)
+        drill.configure(2)
+        drill.wait_for(1, "version 2 at the first host",
+                       lambda: drill.served_version(drill.hosts[0]) == 2)
+        drill.store.restore(older)
+        drill.proxies[1].heal()
+        drill.await_version(2)
+        self.assertEqual(drill.problems, [])
+
     def test_lease_of_another_is_neither_renewed_nor_ended(self) -> None:
         # Guards against a renewal, or an end at a planned stop, of a lease that the store has
         # granted again to another client.
