--- a/balance/server_registry_test.cpp
+++ b/balance/server_registry_test.cpp
@@ -182,5 +182,69 @@
   EXPECT_NE(Registry.choose(Shard, {}, Start + Seconds(6)), nullptr);
 }
 
+/// Gives backend servers the roles of their versions.
+class VersionRoles : public ServerFilters, public ServerFilter {
+public:
+  ServerFilter *find(const ServiceId &) const override {
+    return const_cast<VersionRoles *>(this);
+  }
+  ServerRole role(const BackendServer &Server) const override {
+    return Roles.at(Server.entry().Version);
+  }
+  bool trialDue(const RouteId &, MonotonicTime) override { return TrialDue; }
+  void recordFirstAttempt(const RouteId &, const BackendServer &) override {
+    ++FirstAttempts;
+  }
+  void recordSend(const BackendServer &) override { ++Sends; }
+
+  std::map<VersionId, ServerRole> Roles;
+  bool TrialDue = false;
+  int FirstAttempts = 0;
+  int Sends = 0;
+};
+
+// Guards against requests to a version that is not to be used, against retries
+// at a version that is being tested, and against calls that are queued or
+// refused although the servers that stand in for the regular ones are free.
+TEST_F(ServerRegistryTest, FilterRestrictsChoices) {
+  VersionRoles Filter;
+  Filter.Roles = {{VersionId("v1"), ServerRole::Regular},
+                  {VersionId("v2"), ServerRole::Trial},
+                  {VersionId("v3"), ServerRole::Excluded}};
+  Registry.setFilters(&Filter);
+  for (const auto &[Version, Role] : Filter.Roles) {
+    BackendServerEntry Entry = entry(Version.text(), 1);
+    Entry.Version = Version;
+    Registry.update(Entry, Start);
+  }
+  auto IdOf = [](const BackendServerPtr &Server) {
+    return Server ? Server->entry().Id.text() : std::string();
+  };
+  EXPECT_EQ(IdOf(choose()), "v1");
+  Filter.TrialDue = true;
+  BackendServerPtr Trial = choose();
+  EXPECT_EQ(IdOf(Trial), "v2");
+  EXPECT_EQ(Filter.FirstAttempts, 2);
+  std::vector<BackendServerPtr> Tried = {Trial};
+  ServerCriteria Retry;
+  Retry.TriedServers = &Tried;
+  EXPECT_EQ(IdOf(Registry.choose(Shard, Retry, Start)), "v1");
+  EXPECT_EQ(Filter.FirstAttempts, 2);
+  Registry.recordSend(*Trial, Start);
+  EXPECT_EQ(Filter.Sends, 1);
+
+  std::vector<BackendServerPtr> V1 = {Registry.find(BackendServerId("v1"))};
+  EXPECT_FALSE(Registry.hasUntriedServer(Shard, V1, Start));
+  EXPECT_EQ(Registry.earliestSendAt(Shard, V1, Start), MonotonicTime::max());
+  Filter.TrialDue = false;
+  Registry.remove(BackendServerId("v1"));
+  EXPECT_EQ(IdOf(choose()), "v2");
+  EXPECT_TRUE(Registry.hasUntriedServer(Shard, {}, Start));
+  EXPECT_EQ(Registry.state(Shard, Start), ServiceState::Available);
+  Registry.remove(BackendServerId("v2"));
+  EXPECT_EQ(choose(), nullptr);
+  EXPECT_EQ(Registry.state(Shard, Start), ServiceState::Unavailable);
+}
+
 } // namespace
 } // namespace mimosa
--- a/entry/rollout_driver.cpp
+++ b/entry/rollout_driver.cpp
@@ -340,11 +340,16 @@
   Out.StoreFresh = storeFresh();
   Out.ListedHosts = Listed;
   std::vector<BackendServerId> Cold;
-  for (const BackendServerPtr &Server : Registry.servers(Service))
-    if (Server->entry().Version == Rollout.targetVersion() &&
-        Registry.usable(*Server))
+  Out.HasOtherServers = false;
+  for (const BackendServerPtr &Server : Registry.servers(Service)) {
+    if (!Registry.usable(*Server))
+      continue;
+    if (Server->entry().Version != Rollout.targetVersion())
+      Out.HasOtherServers = true;
+    else
       (Server->cold(Loop.now()) ? Cold : Out.TargetServers)
           .push_back(Server->entry().Id);
+  }
   if (Out.TargetServers.empty())
     Out.TargetServers = std::move(Cold);
   std::sort(Out.TargetServers.begin(), Out.TargetServers.end());
--- a/rollout/rollout_review.cpp
+++ b/rollout/rollout_review.cpp
@@ -166,10 +166,15 @@
     return AtEnd && Now - *NoServersSince >= NoServersWait
                ? condemn("no_servers")
                : ReviewDecision{};
+  if (!State.HasOtherServers)
+    return {ReviewStep::Move, "only_version"};
   bool HasTraffic = Table.sent() > 0;
   bool Suspicious = C.Score >= SuspiciousScore && C.Excess >= SuspiciousExcess;
   // Backend servers that came late, or an outage of the store, left no time.
-  if (HasTraffic && TestedTime < scaled(moveAfter(), MinTestedShare))
+  // If the other versions were gone meanwhile, the budget is used up instead.
+  bool HasWaited = age(Now) >= Order.Ramp * 2 && C.TargetAnswers >= MinAnswers;
+  if (HasTraffic && !HasWaited &&
+      TestedTime < scaled(moveAfter(), MinTestedShare))
     return {};
   bool TooLittle = C.TargetAnswers < MinAnswers ||
                    C.LeastRouteAnswers < MinRouteAnswers || BurstsDone == 0;
--- a/rollout/rollout_review.h
+++ b/rollout/rollout_review.h
@@ -32,6 +32,8 @@
   /// Usable backend servers of the target version, those that are not cold
   /// first, in an order that is the same at all hosts.
   std::vector<BackendServerId> TargetServers;
+  /// Another version has a usable backend server.
+  bool HasOtherServers = true;
   std::vector<HostId> ListedHosts;
 };
 
--- a/rollout/rollout_simulation_test_util.h
+++ b/rollout/rollout_simulation_test_util.h
@@ -274,6 +274,8 @@
     for (const BackendServerPtr &Server : Reviewer.Registry.servers(Service))
       if (Server->entry().Version == rolloutOf(Reviewer).targetVersion())
         Out.TargetServers.push_back(Server->entry().Id);
+    Out.HasOtherServers =
+        Reviewer.Registry.servers(Service).size() > Out.TargetServers.size();
     for (size_t I = 0; I < Hosts.size(); ++I)
       if (Hosts[I]->Listed)
         Out.ListedHosts.push_back(idOf(I));
--- a/rollout/rollout_test.cpp
+++ b/rollout/rollout_test.cpp
@@ -300,8 +300,9 @@
   EXPECT_EQ(S.phase(), RolloutPhase::Completed);
 }
 
-// Guards against requests that fail because the servers of one version leave,
-// and against a version without servers that is completed.
+// Guards against requests that wait or fail, and an order that is never
+// decided, because the servers of one version leave, and against a version
+// without servers that is completed.
 TEST(Rollout, ServersThatLeave) {
   for (Duration After : {Seconds(0), Seconds(3), Seconds(10)}) {
     RolloutSimulation S(good(1));
@@ -316,6 +317,8 @@
   uint64_t Before = S.ToTarget;
   S.run(Seconds(1));
   EXPECT_GT(S.ToTarget, Before + 100);
+  S.runUntilDecided(Seconds(14));
+  EXPECT_EQ(S.phase(), RolloutPhase::Completed);
 }
 
 // Guards against a status "completed" while requests run at the old version.
