Release the share of a host that leaves unheard after one window

The model check, with the window counted in steps of 100 ms, found a host that took the share of one that it was cut off from as soon as that one left.

--- a/shared_limit/shared_limits.cpp
+++ b/shared_limit/shared_limits.cpp
@@ -348,11 +348,11 @@
 
 void SharedLimits::updateContacts(MonotonicTime Now) {
   for (auto &[Id, P] : Peers) {
-    bool Member = !P.Leaving &&
+    bool Member = (!P.Leaving || Now < P.ReleasedAt) &&
                   (P.Listed || (P.SeenAt && Now - *P.SeenAt < SharingMemory));
     setMember(P, Member, Now);
-    bool InContact = Member && P.HasFull && Joined && P.AckedSentAt &&
-                     Now - *P.AckedSentAt <= ContactTimeout &&
+    bool InContact = Member && !P.Leaving && P.HasFull && Joined &&
+                     P.AckedSentAt && Now - *P.AckedSentAt <= ContactTimeout &&
                      !(P.AskedSince && Now - *P.AskedSince > ReplyTimeout);
     GroupChanged = GroupChanged || InContact != P.InContact;
     P.InContact = InContact;
@@ -703,6 +703,9 @@
   if (!accept(P, Report, Now))
     return std::nullopt;
   applyUsage(P, Report, Now);
+  // What a host has taken that was not connected is not known here.
+  if (Report.Leaving && !P.Leaving)
+    P.ReleasedAt = P.Connected ? Now : Now + Options.Window;
   P.Leaving = Report.Leaving;
   P.SeenAt = Now;
   recordAck(P, Report);
--- a/shared_limit/shared_limits.h
+++ b/shared_limit/shared_limits.h
@@ -147,7 +147,7 @@
 
 private:
   /// The window of the rule is covered by this many slots, one of them partly.
-  static constexpr size_t WindowSlots = 26;
+  static constexpr size_t WindowSlots = 51;
 
   struct Bucket {
     double Rate = 0;
@@ -184,6 +184,8 @@
   struct Peer {
     bool Listed = false;
     bool Leaving = false;
+    /// The share of a host that leaves passes to the others from then on.
+    MonotonicTime ReleasedAt{};
     /// Its acknowledgements are recent.
     bool InContact = false;
     /// In contact, as are all others that are connected: one group takes
