--- a/shared_limit/shared_limits.cpp
+++ b/shared_limit/shared_limits.cpp
@@ -15,7 +15,7 @@
 constexpr double RatePartOfMargin = 0.85;
 /// Part of an unused burst that stands in for them, too. The rest is left for
 /// changes of the shares: a window may begin with another share.
-constexpr double BurstPartOfBound = 0.5;
+constexpr double BurstPartOfBound = 0.65;
 /// Part of the margin that a host may use while the others may not know of it.
 constexpr double UnknownPartOfMargin = 0.5;
 /// Hosts that lose another one notice it at slightly different times. A group
