--- a/shared_limit/shared_limits.cpp
+++ b/shared_limit/shared_limits.cpp
@@ -119,10 +119,12 @@
 
 double SharedLimits::effectiveRate(const Bucket &B) const {
   double Base = baseRate(B);
-  if (roomInWindow(B) <= 0)
+  if (share(B) >= 1 || roomInWindow(B) <= 0)
     return Base;
-  return std::max(
-      Base, std::min(B.Rate, boundOfWindow(B) / inSeconds(Options.Window)));
+  // Somewhat more than the rate makes up for what was not used until a host was
+  // found to be lost.
+  return std::max(Base, std::min(B.Rate * (1 + Options.Overage),
+                                 boundOfWindow(B) / inSeconds(Options.Window)));
 }
 
 int64_t SharedLimits::usedWithin(const Bucket &B, Duration Time) const {
