Promise tokens by what a host uses of them; check reports of other hosts

Cause: each host promised refused callers all tokens of a team, and numbers of a broken host could make levels useless.

Change: the promises of a host follow its part of the use in the window; impossible numbers are rejected with a log line. Nothing is sent or answered without a quota. Tests of one host.

--- a/entry/team_quota.cpp
+++ b/entry/team_quota.cpp
@@ -136,7 +136,7 @@
 }
 
 void TeamQuota::sendEarlyReports() {
-  if (!Limits.earlyReportWanted() || EarlyTimerSet)
+  if (Limited.empty() || !Limits.earlyReportWanted() || EarlyTimerSet)
     return;
   MonotonicTime Now = bootTime();
   if (Limits.earlyReportDue(Now))
@@ -169,14 +169,26 @@
 }
 
 void TeamQuota::handleReport(const PeerFrame &Frame) {
+  // Not acknowledged, so the others go on without this host until it has the
+  // configuration with the quotas.
+  if (Limited.empty())
+    return;
   Result<SharedUsage> Report = unpackBody<SharedUsage>(Frame.Body);
   if (!ok(Report))
     return logWarn("quota", "event=bad_usage_report reason=\"" +
                                 errorOf(Report).Message + "\"");
+  if (!SharedLimits::valid(valueOf(Report)))
+    return logWarn("quota", "event=bad_usage_report reason=\"impossible "
+                            "numbers\" from=" +
+                                valueOf(Report).Sender.text());
   if (auto Reply = Limits.applyReport(valueOf(Report), bootTime()))
     sendReports({*Reply});
 }
 
-void TeamQuota::leave() { sendReports(Limits.leave(bootTime())); }
+void TeamQuota::leave() {
+  std::vector<AddressedUsage> Reports = Limits.leave(bootTime());
+  if (!Limited.empty())
+    sendReports(Reports);
+}
 
 } // namespace mimosa
--- a/shared_limit/shared_limits.cpp
+++ b/shared_limit/shared_limits.cpp
@@ -1,6 +1,7 @@
 #include "shared_limit/shared_limits.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <xxhash.h>
 
@@ -113,7 +114,7 @@
 
 double SharedLimits::roomInWindow(const Bucket &B) const {
   // Each connected host may be taking a token at this moment.
-  return boundOfWindow(B) - static_cast<double>(B.WindowUse) -
+  return boundOfWindow(B) - static_cast<double>(B.AllUse.Total) -
          static_cast<double>(connectedCount()) / 2;
 }
 
@@ -127,30 +128,30 @@
                                  boundOfWindow(B) / inSeconds(Options.Window)));
 }
 
-int64_t SharedLimits::usedWithin(const Bucket &B, Duration Time) const {
-  Duration SlotTime = Options.Window / (WindowSlots - 1);
-  auto Slots = std::min<int64_t>(Time / SlotTime + 1, WindowSlots - 1);
-  int64_t Out = 0;
-  for (int64_t I = 0; I <= Slots; ++I)
-    Out += B.SlotUse[static_cast<size_t>(B.LastSlot - I) % WindowSlots];
-  return Out;
-}
-
-void SharedLimits::recordUse(Bucket &B, int64_t Tokens,
-                             MonotonicTime Now) const {
-  Duration SlotTime = Options.Window / (WindowSlots - 1);
+void SharedLimits::UseWindow::add(int64_t Tokens, Duration SlotTime,
+                                  MonotonicTime Now) {
   int64_t Slot = Now.time_since_epoch() / SlotTime;
   int64_t Expired =
-      std::min<int64_t>(Slot - B.LastSlot, static_cast<int64_t>(WindowSlots));
+      std::min<int64_t>(Slot - Last, static_cast<int64_t>(WindowSlots));
   for (int64_t I = 1; I <= Expired; ++I) {
-    int64_t &Oldest =
-        B.SlotUse[static_cast<size_t>(B.LastSlot + I) % WindowSlots];
-    B.WindowUse -= Oldest;
+    int64_t &Oldest = Slots[static_cast<size_t>(Last + I) % WindowSlots];
+    Total -= Oldest;
     Oldest = 0;
   }
-  B.LastSlot = Slot;
-  B.SlotUse[static_cast<size_t>(Slot) % WindowSlots] += Tokens;
-  B.WindowUse += Tokens;
+  Last = Slot;
+  Slots[static_cast<size_t>(Slot) % WindowSlots] += Tokens;
+  Total += Tokens;
+}
+
+int64_t SharedLimits::UseWindow::sum(size_t Before) const {
+  int64_t Out = 0;
+  for (size_t I = 0; I <= std::min(Before, WindowSlots - 1); ++I)
+    Out += Slots[(static_cast<size_t>(Last) - I) % WindowSlots];
+  return Out;
+}
+
+int64_t SharedLimits::usedWithin(const Bucket &B, Duration Time) const {
+  return B.AllUse.sum(static_cast<size_t>(Time / slotTime()) + 1);
 }
 
 int64_t SharedLimits::unacknowledged(const Bucket &B) const {
@@ -165,10 +166,12 @@
   return OneEach ? std::max(Part, 1.0) : Part;
 }
 
+bool SharedLimits::windowIsFull(const Bucket &B) const {
+  return B.BoundUntil > *AdvancedAt && roomInWindow(B) <= 0;
+}
+
 bool SharedLimits::mayTake(const Bucket &B) const {
-  if (B.BoundUntil > *AdvancedAt && roomInWindow(B) <= 0)
-    return false;
-  return Joined && Settled && Share > 0 && B.Level >= 1 &&
+  return Joined && Settled && Share > 0 && B.Level >= 1 && !windowIsFull(B) &&
          (connectedCount() == 1 ||
           static_cast<double>(unacknowledged(B) + 1) <= ownPart(B));
 }
@@ -342,7 +345,7 @@
       B.Level = std::max(std::min(B.Level, 0.0), B.Level + Returned);
     if (!Settled && P.Settled)
       B.Level = std::min(B.Level, U.Level);
-    recordUse(B, U.Reported - U.Counted, Now);
+    B.AllUse.add(U.Reported - U.Counted, slotTime(), Now);
     U.Counted = U.Reported;
     U.Withheld = 0;
   }
@@ -447,7 +450,8 @@
 
 void SharedLimits::refill(Duration Elapsed) {
   for (auto &[Key, B] : Buckets) {
-    recordUse(B, 0, *AdvancedAt);
+    B.AllUse.add(0, slotTime(), *AdvancedAt);
+    B.OwnUse.add(0, slotTime(), *AdvancedAt);
     double Rate = effectiveRate(B);
     if (Rate > baseRate(B))
       B.BoundUntil = *AdvancedAt + Options.Window;
@@ -482,7 +486,8 @@
   }
   B->Level -= 1;
   ++B->Used;
-  recordUse(*B, 1, Now);
+  B->AllUse.add(1, slotTime(), Now);
+  B->OwnUse.add(1, slotTime(), Now);
   EarlyReportWanted =
       EarlyReportWanted ||
       (connectedCount() > 1 && unacknowledged(*B) >= EarlyReportTokens &&
@@ -497,7 +502,8 @@
   advance(Now);
   addTokens(*B, 1);
   --B->Used;
-  recordUse(*B, -1, Now);
+  B->AllUse.add(-1, slotTime(), Now);
+  B->OwnUse.add(-1, slotTime(), Now);
 }
 
 Duration SharedLimits::availableIn(const SharedLimitKey &Key,
@@ -508,6 +514,8 @@
   advance(Now);
   if (mayTake(*B))
     return Duration(0);
+  if (windowIsFull(*B))
+    return slotTime();
   if (!Joined || !Settled || B->Level >= 1)
     return EarlyReportInterval;
   double Rate = effectiveRate(*B);
@@ -521,6 +529,12 @@
   double Rate = B ? effectiveRate(*B) : 0;
   if (Rate <= 0)
     return At - Now;
+  // The other hosts promise tokens, too, by what they use of them.
+  double Part = 1.0 / static_cast<double>(connectedCount());
+  if (B->AllUse.Total > 0)
+    Part = std::max(Part, static_cast<double>(B->OwnUse.Total) /
+                              static_cast<double>(B->AllUse.Total));
+  Rate *= std::min(Part, 1.0);
   MonotonicTime Promised = std::max(At, B->PromisedUntil);
   B->PromisedUntil =
       std::min(Promised + secondsOf(1 / Rate), At + LongestPromise);
@@ -661,7 +675,7 @@
       continue;
     if (It != Buckets.end()) {
       addTokens(It->second, static_cast<double>(U.Counted - U.Reported));
-      recordUse(It->second, U.Reported - U.Counted, Now);
+      It->second.AllUse.add(U.Reported - U.Counted, slotTime(), Now);
     }
     U.Counted = U.Reported;
   }
@@ -694,9 +708,22 @@
   }
 }
 
+bool SharedLimits::valid(const SharedUsage &Report) {
+  // Sums of counts must not overflow.
+  constexpr int64_t MostUsed = int64_t{1} << 53;
+  return !Report.Sender.empty() && Report.Contacts.size() <= MaxPeers &&
+         Report.Usage.size() <= MaxLimits && Report.SharingHosts <= MaxPeers &&
+         Report.Share >= 0 && Report.Share <= 1 &&
+         std::all_of(Report.Usage.begin(), Report.Usage.end(),
+                     [](const LimitUsage &Each) {
+                       return std::isfinite(Each.Level) &&
+                              Each.Used >= -MostUsed && Each.Used <= MostUsed;
+                     });
+}
+
 std::optional<AddressedUsage>
 SharedLimits::applyReport(const SharedUsage &Report, MonotonicTime Now) {
-  if (Report.Sender.empty() || Report.Sender == Self)
+  if (Report.Sender == Self)
     return std::nullopt;
   if (Peers.size() >= MaxPeers && !Peers.count(Report.Sender))
     return std::nullopt;
--- a/shared_limit/shared_limits.h
+++ b/shared_limit/shared_limits.h
@@ -85,8 +85,8 @@
   SharedLimits(HostId Self, Incarnation Process, SharedLimitOptions Options)
       : Self(std::move(Self)), Process(Process), Options(Options) {}
 
-  /// Limits \p Key to \p Rate tokens a second, and \p Burst at once. A rate of
-  /// 0 or less removes the limit.
+  /// Limits \p Key to \p Rate tokens a second, and \p Burst at once, which must
+  /// be finite. A rate of 0 or less removes the limit.
   void setLimit(const SharedLimitKey &Key, double Rate, double Burst);
   /// Names the hosts to which callers are sent, with this one if it is among
   /// them. An empty list is ignored: the last one stays valid while this host
@@ -117,7 +117,10 @@
   /// earlyReportDue().
   bool earlyReportWanted() const { return EarlyReportWanted && Joined; }
   bool earlyReportDue(MonotonicTime Now) const;
-  /// Applies a report of another host and returns a reply if one is due.
+  /// Whether the numbers of a report are possible.
+  static bool valid(const SharedUsage &Report);
+  /// Applies a valid() report of another host and returns a reply if one is
+  /// due.
   std::optional<AddressedUsage> applyReport(const SharedUsage &Report,
                                             MonotonicTime Now);
   /// Ends the use of all limits and returns the reports that say so.
@@ -149,6 +152,19 @@
   /// The window of the rule is covered by this many slots, one of them partly.
   static constexpr size_t WindowSlots = 51;
 
+  /// Counts tokens by slots of the time.
+  struct UseWindow {
+    void add(int64_t Tokens, Duration SlotTime, MonotonicTime Now);
+    /// The sum of the slot of the last add() and \p Before ones before it.
+    int64_t sum(size_t Before) const;
+    /// Of all slots.
+    int64_t Total = 0;
+
+  private:
+    std::array<int64_t, WindowSlots> Slots{};
+    int64_t Last = 0;
+  };
+
   struct Bucket {
     double Rate = 0;
     double Burst = 0;
@@ -159,11 +175,9 @@
     /// Used as of each report that some connected host has not acknowledged.
     std::deque<std::pair<uint64_t, int64_t>> SentUsed;
     uint64_t Refused = 0;
-    /// Tokens that are known to be used, by slots of the time; the last
-    /// WindowSlots of them cover the window.
-    std::array<int64_t, WindowSlots> SlotUse{};
-    int64_t WindowUse = 0;
-    int64_t LastSlot = 0;
+    /// Tokens that are known to be used by all hosts, and by this one.
+    UseWindow AllUse;
+    UseWindow OwnUse;
     /// Until then, tokens may not exceed roomInWindow(), since some were taken
     /// in place of hosts that are not connected.
     MonotonicTime BoundUntil{};
@@ -240,11 +254,10 @@
   /// what is left of it in the current one.
   double boundOfWindow(const Bucket &B) const;
   double roomInWindow(const Bucket &B) const;
-  /// Counts tokens that this host or another one has used.
-  void recordUse(Bucket &B, int64_t Tokens, MonotonicTime Now) const;
   /// Tokens that are known to be used within the last \p Time, or a little
   /// more.
   int64_t usedWithin(const Bucket &B, Duration Time) const;
+  Duration slotTime() const { return Options.Window / (WindowSlots - 1); }
   /// How many unacknowledged tokens this host may have taken.
   double ownPart(const Bucket &B) const;
   int64_t unacknowledged(const Bucket &B) const;
@@ -289,6 +302,8 @@
   void beginReport(MonotonicTime Now);
   Bucket *find(const SharedLimitKey &Key);
   bool mayTake(const Bucket &B) const;
+  /// Whether the window leaves no room for a token in place of a lost host.
+  bool windowIsFull(const Bucket &B) const;
 
   HostId Self;
   Incarnation Process;
--- a/shared_limit/shared_limits_test.cpp
+++ b/shared_limit/shared_limits_test.cpp
@@ -8,7 +8,7 @@
 
 #include <gtest/gtest.h>
 
-#include <memory>
+#include <cmath>
 #include <set>
 
 namespace mimosa {
@@ -204,6 +204,78 @@
   size_t Most = 0;
 };
 
+/// A host that shares limits with no other.
+class SingleHost : public ::testing::Test {
+protected:
+  SingleHost() { Limits.setHosts({HostId("h0")}, Start); }
+
+  /// Takes tokens until there is none.
+  size_t takeAll(MonotonicTime Now) {
+    size_t Out = 0;
+    while (Out < 1000 && Limits.admit(Team, Now))
+      ++Out;
+    return Out;
+  }
+
+  SharedLimits Limits{HostId("h0"), Incarnation(1), SharedLimitOptions{}};
+};
+
+// Guards against callers who return too early, or all at once.
+TEST_F(SingleHost, RefusedCallersReturnAsTokensDo) {
+  Limits.setLimit(Team, 10, 10);
+  EXPECT_EQ(takeAll(Start), 10u);
+  std::set<Duration> Times;
+  for (int I = 0; I < 20; ++I)
+    Times.insert(Limits.retryAfter(Team, Start));
+  ASSERT_EQ(Times.size(), 20u);
+  for (Duration After : Times)
+    EXPECT_TRUE(Limits.admit(Team, Start + After + Milliseconds(2)));
+  EXPECT_FALSE(Limits.admit(Team, Start + *Times.rbegin() + Milliseconds(3)));
+}
+
+// Guards against requests that are counted although they have not run.
+TEST_F(SingleHost, RefundsCanBeTakenAgain) {
+  Limits.setLimit(Team, 1, 10);
+  EXPECT_EQ(takeAll(Start), 10u);
+  for (int I = 0; I < 4; ++I)
+    Limits.refund(Team, Start);
+  EXPECT_EQ(takeAll(Start), 4u);
+}
+
+// Guards against a former limit that still binds, or a lower one that does not.
+TEST_F(SingleHost, ChangedLimitsBindAtOnce) {
+  for (double None : {0.0, -5.0}) {
+    Limits.setLimit(Team, None, 3);
+    EXPECT_EQ(takeAll(Start), 1000u);
+  }
+  Limits.setLimit(Team, 100, 100);
+  Limits.setLimit(Team, 10, 10);
+  EXPECT_EQ(takeAll(Start), 10u);
+  Limits.setLimit(Team, 0, 0);
+  EXPECT_TRUE(Limits.empty());
+  EXPECT_EQ(takeAll(Start), 1000u);
+}
+
+// Guards against numbers of another host that make the own ones useless.
+TEST(SharedUsageReports, ImpossibleNumbersAreInvalid) {
+  SharedUsage Report;
+  Report.Sender = HostId("h1");
+  Report.Share = 1;
+  Report.Usage = {{Team, 5, 2}};
+  EXPECT_TRUE(SharedLimits::valid(Report));
+  auto Invalid = [&](auto Change) {
+    SharedUsage Bad = Report;
+    Change(Bad);
+    return !SharedLimits::valid(Bad);
+  };
+  EXPECT_TRUE(Invalid([](SharedUsage &R) { R.Sender = HostId(); }));
+  EXPECT_TRUE(Invalid([](SharedUsage &R) { R.Share = NAN; }));
+  EXPECT_TRUE(Invalid([](SharedUsage &R) { R.Share = -1; }));
+  EXPECT_TRUE(Invalid([](SharedUsage &R) { R.SharingHosts = UINT32_MAX; }));
+  EXPECT_TRUE(Invalid([](SharedUsage &R) { R.Usage[0].Used = INT64_MIN; }));
+  EXPECT_TRUE(Invalid([](SharedUsage &R) { R.Usage[0].Level = INFINITY; }));
+}
+
 /// Runs all sequences of up to Depth faults, each followed by a short or a long
 /// time, and returns the first one that exceeds the limit.
 template <typename Limits> class ModelCheck {
