Count only recent use of a host that is connected again

Cause: the use of a whole partition was counted in the current window, and could block a team for the window after it.

--- a/shared_limit/shared_limits.cpp
+++ b/shared_limit/shared_limits.cpp
@@ -345,7 +345,10 @@
       B.Level = std::max(std::min(B.Level, 0.0), B.Level + Returned);
     if (!Settled && P.Settled)
       B.Level = std::min(B.Level, U.Level);
-    B.AllUse.add(U.Reported - U.Counted, slotTime(), Now);
+    // What it can have used of its share within the current window.
+    double Recent = (B.Rate * inSeconds(Options.Window) + B.Burst) * shareOf(P);
+    B.AllUse.add(static_cast<int64_t>(std::clamp(Used, 0.0, Recent)),
+                 slotTime(), Now);
     U.Counted = U.Reported;
     U.Withheld = 0;
   }
@@ -516,7 +519,9 @@
     return Duration(0);
   if (windowIsFull(*B))
     return slotTime();
-  if (!Joined || !Settled || B->Level >= 1)
+  if (!Joined || !Settled)
+    return UsageReportInterval;
+  if (B->Level >= 1)
     return EarlyReportInterval;
   double Rate = effectiveRate(*B);
   return Rate > 0 ? secondsOf((1 - B->Level) / Rate) : ContactTimeout;
