Let others run between the pipelined requests of a connection

Cause: a fiber served all pipelined requests in its buffer without a pause. With 900 connections that pipeline requests for the metrics, an ordinary request of a caller was not answered within 8 s. Change: the fiber yields after each of them, and the metrics are rendered at most every 20 ms.

--- a/entry/entry_node.h
+++ b/entry/entry_node.h
@@ -48,11 +48,20 @@
     explicit MetricsPage(EntryNode &Node) : Node(Node) {}
     HttpResponse handle(const HttpRequest &,
                         const std::shared_ptr<CallerConnection> &) override {
-      return {200, "text/plain", Node.Metrics.render()};
+      MonotonicTime Now = Node.Loop.now();
+      if (Text.empty() || Now - RenderedAt >= MinRenderInterval) {
+        Text = Node.Metrics.render();
+        RenderedAt = Now;
+      }
+      return {200, "text/plain", Text};
     }
 
   private:
+    /// Bounds the processor time for clients that ask again and again.
+    static constexpr Duration MinRenderInterval = Milliseconds(20);
     EntryNode &Node;
+    std::string Text;
+    MonotonicTime RenderedAt;
   };
 
   void routingChanged(RoutingConfig Config) override;
--- a/runtime/http_server.cpp
+++ b/runtime/http_server.cpp
@@ -643,6 +643,10 @@
     if (!Complete || !handleRequest(Parser))
       break;
     BodyShare.reset();
+    // Hundreds of pipelined requests may be in the buffer, and their responses
+    // may all be written without a wait.
+    if (Buffer.size() > 0)
+      FiberLoop::yield();
   }
   error_code Ignored;
   if (!Closed)
