--- a/tools/restore_test.py
+++ b/tools/restore_test.py
@@ -76,7 +76,8 @@
         proxy = FaultProxy((address, int(port)))
         self.cleanups.callback(proxy.close)
         first = index * PORTS_PER_HOST
-        seeds = [f"{LOCALHOST}:{self.ports[i * PORTS_PER_HOST + 3]}" for i in range(2) if i != index]
+        seeds = [f"{LOCALHOST}:{self.ports[i * PORTS_PER_HOST + 3]}"
+                 for i in range(2) if i != index]
         host = EntryProcess(f"h{index:02}", proxy.address, self.ports[first:first + PORTS_PER_HOST],
                             seeds=",".join(seeds), zone=f"z{index % self.zone_count}")
         self.cleanups.callback(host.stop)
@@ -252,9 +253,9 @@
         drill.run(kind)
         self.assertEqual(drill.problems, [])
 
-    # Each guards against a host that goes back to an older configuration or uses a server that has
-    # left, against a new configuration that is not applied, hosts that the directory does not name,
-    # and renewals of a lease that belongs to another host.
+    # The tests that run a drill guard against a host that goes back to an older configuration or uses
+    # a server that has left, against a new configuration that is not applied, hosts that the
+    # directory does not name, and renewals of a lease that belongs to another host.
     def test_quick_restore(self) -> None:
         self.run_drill("quick")
 
