--- a/shared_limit/shared_limits.h
+++ b/shared_limit/shared_limits.h
@@ -59,7 +59,7 @@
 /// A host that is cut off may be listed, and serve, for that long.
 constexpr Duration SharingMemory = Seconds(30);
 /// A host that has not been known to be listed for this long, and is connected
-/// to no majority, takes no tokens: the others may stop to leave it a share
+/// to no majority, takes no tokens: the others may no longer leave it a share
 /// when its entry, which lasts for up to 5.5 s, has been missing for
 /// SharingMemory. They drop it later than it stops.
 constexpr Duration ListingMemory = Seconds(25);
@@ -141,7 +141,7 @@
 protected:
   // Tests replace these to show that the model check finds a fault in them.
 
-  /// Whether the others may have stopped to leave this host a share.
+  /// Whether the others may no longer leave this host a share.
   virtual bool forgotten(MonotonicTime Now) const;
   /// The newest report that all connected hosts have acknowledged; empty if no
   /// host is connected.
@@ -211,6 +211,8 @@
     std::optional<MonotonicTime> UnfitSince;
     /// It shares the limits.
     bool Member = false;
+    /// A full report of its process was applied; reports are not acknowledged
+    /// before.
     bool HasFull = false;
     bool Settled = false;
     Incarnation Process;
@@ -326,8 +328,8 @@
   std::optional<MonotonicTime> AskedAt;
   /// When this host was last known to be listed.
   std::optional<MonotonicTime> ConfirmedAt;
-  /// Others may have stopped to leave a share to this host, and not know that
-  /// it has resumed, until then.
+  /// Until then, others may leave no share to this host, since they do not know
+  /// that it has started or resumed.
   std::optional<MonotonicTime> UnknownUntil;
   /// What this host leaves to itself and those connected to it, and the least
   /// of what they leave.
--- a/shared_limit/shared_limits_test.cpp
+++ b/shared_limit/shared_limits_test.cpp
@@ -23,7 +23,7 @@
 constexpr MonotonicTime Start{Seconds(1000)};
 constexpr Duration Window = Seconds(5);
 
-/// Keeps its share while the others may have stopped to leave it one.
+/// Keeps its share while the others may no longer leave it one.
 class SharesKeptOverFreeze : public SharedLimits {
   using SharedLimits::SharedLimits;
   bool forgotten(MonotonicTime) const override { return false; }
