Confirm signs of a fault of a version by several short bursts

Change: shorter bursts after signs of a fault, requests between them go on for routes with few answers, and the score at the end of the test is 2.3.

--- a/entry/rollout_driver.cpp
+++ b/entry/rollout_driver.cpp
@@ -55,6 +55,7 @@
 std::vector<HostId> rolloutReviewers(const std::vector<EntryHost> &Listed,
                                      const HostId &Self) {
   std::vector<const EntryHost *> Ranked;
+  Ranked.reserve(Listed.size());
   for (const EntryHost &Host : Listed)
     Ranked.push_back(&Host);
   std::sort(
--- a/rollout/rollout_review.cpp
+++ b/rollout/rollout_review.cpp
@@ -22,10 +22,10 @@
 /// been granted requests.
 constexpr double MinTestedShare = 0.4;
 /// Score from which a version is bad, before and at the end of the test. The
-/// first takes nine equal slots (2.25 s) and the second five, more than a fault
+/// first takes nine equal slots (2.25 s) and the second six, more than a fault
 /// of 1 s.
 constexpr double EarlyScore = 3;
-constexpr double FinalScore = 2.2;
+constexpr double FinalScore = 2.3;
 /// Bad answers above the expected ones, as a share of the answers, from which
 /// the lower score is sufficient at once.
 constexpr double SevereExcessShare = 0.4;
@@ -41,6 +41,9 @@
 /// Answers below which a version is tested until the end of the ramp.
 constexpr uint64_t MinAnswers = 30;
 constexpr uint64_t MinRouteAnswers = 8;
+/// Answers below which the requests between bursts go on for the sake of the
+/// route.
+constexpr uint64_t RareRouteAnswers = 12;
 /// Requests without any answer that make a version bad: it declines them.
 constexpr uint64_t MaxUnanswered = 5;
 /// Share of the requests between bursts, and the least rate, per second.
@@ -143,6 +146,7 @@
   bool IsSevere = C.ExcessShare >= SevereExcessShare;
   if (C.isWorse(MustDecide || IsSevere ? FinalScore : EarlyScore))
     return condemn("worse");
+  HasRareRoute = C.LeastRouteAnswers < RareRouteAnswers;
   bool WasSuspicious = Suspicious;
   Suspicious = C.Score >= SuspiciousScore && C.Excess >= SuspiciousExcess;
   if (Suspicious && !WasSuspicious)
@@ -273,9 +277,10 @@
   }
   double Cost = Rate * BurstShare * inSeconds(BurstTime);
   double Progress = inSeconds(age(Now)) / inSeconds(moveAfter());
-  bool MayBurst =
-      Progress >= FirstBurstFrom && Rate > 0 &&
-      (Left >= Cost || (Progress >= ShortBurstFrom && Left >= Cost / 2));
+  double Part = Suspicious                   ? ShortestBurst
+                : Progress >= ShortBurstFrom ? ShortBurst
+                                             : 1;
+  bool MayBurst = Progress >= FirstBurstFrom && Rate > 0 && Left >= Cost * Part;
   if (!BurstUntil && MayBurst) {
     BurstUntil = Now + BurstTime;
     Server = Servers[NextServer++ % Servers.size()];
@@ -286,7 +291,8 @@
   bool Checks = Now - SuspiciousSince < CheckTime ||
                 (ManyBadSince && Now - *ManyBadSince < DecisionCheckTime);
   if (Suspicious && !Checks) {
-    Base = 0;
+    // A burst adds few slots for a route with few requests.
+    Base = HasRareRoute ? Base : 0;
   } else if (Suspicious) {
     Base = std::max(CheckShare, MinCheckRate / std::max(Rate, MinCheckRate));
     Left += CheckSlack + CheckSlackShare * static_cast<double>(Table.sent());
--- a/rollout/rollout_review.h
+++ b/rollout/rollout_review.h
@@ -90,6 +90,8 @@
   /// There are signs of a fault, which may be by chance.
   bool Suspicious = false;
   MonotonicTime SuspiciousSince;
+  /// The version has answered few requests of some route.
+  bool HasRareRoute = false;
   std::optional<MonotonicTime> ManyBadSince;
   std::optional<MonotonicTime> MovingSince;
   std::optional<MonotonicTime> NoServersSince;
