--- a/rollout/rollout_test.cpp
+++ b/rollout/rollout_test.cpp
@@ -38,7 +38,7 @@
 std::function<SimulatedAnswer(const SimulatedRequest &)>
 slow(int Factor, double Share,
      std::function<bool(const SimulatedRequest &)> When) {
-  return [=](const SimulatedRequest &R) {
+  return [Factor, Share, When = std::move(When)](const SimulatedRequest &R) {
     SimulatedAnswer Out = sound(R.Rng);
     if (R.ToTarget && When(R) && R.Rng.uniform01() < Share)
       Out.Latency *= Factor;
--- a/tools/rollout_test.py
+++ b/tools/rollout_test.py
@@ -143,6 +143,7 @@
         self.assertEqual(set(self.statuses), {200})
         shown = subprocess.run([SmallSystem.program("mimosactl"), "rollouts", self.store.address,
                                 SERVICE], capture_output=True, text=True, check=True).stdout
+        print(shown)
         self.assertIn("v2 completed", shown)
         self.assertRegex(shown, "decided by h[01]: moved")
         self.assertRegex(shown, r"target: \d+ answers")
