Add load patterns of a burst beside failing backend servers to the model

Cause: no load pattern shows the loss of queries over 36 shards when a burst meets failing or declining backend servers.

Change: the model knows servers of unlike speed and slots, teams and zones of callers, faults of a range of servers, and the worth of an answer to its caller.

--- a/base/json_fields.cpp
+++ b/base/json_fields.cpp
@@ -171,6 +171,10 @@
   return *Field;
 }
 
+const Json &JsonFields::arrayOrEmpty(const char *Name) {
+  return find(Name) ? array(Name) : EmptyArray;
+}
+
 const Json &JsonFields::array(const char *Name) {
   return required(Name, Json::value_t::array);
 }
--- a/base/json_fields.h
+++ b/base/json_fields.h
@@ -55,6 +55,8 @@
   bool flagOr(const char *Name, bool Fallback);
   /// A required array; an empty array on failure.
   const Json &array(const char *Name);
+  /// An optional array; an empty array if it is missing.
+  const Json &arrayOrEmpty(const char *Name);
   /// A required object; an empty object on failure.
   const Json &object(const char *Name);
 
--- a/model/host_model.cpp
+++ b/model/host_model.cpp
@@ -28,7 +28,7 @@
       Entry.Service = Service.Id;
       Entry.Address = Entry.Id.text();
       Entry.Zone = zoneOf(I % Pattern.Zones);
-      Entry.Slots = Service.Slots;
+      Entry.Slots = ServerModel::slotsOf(Service, I);
       Registry.update(std::move(Entry), Queue.now());
     }
   }
--- a/model/load_pattern.cpp
+++ b/model/load_pattern.cpp
@@ -58,6 +58,21 @@
       Fields.numberOr(Name, Lowest, MaxCount, Fallback));
 }
 
+/// The positive numbers of an array; empty if there is none.
+std::vector<double> numbers(JsonFields &Fields, const char *Name) {
+  std::vector<double> Out;
+  for (const Json &Item : Fields.arrayOrEmpty(Name)) {
+    if (!Item.is_number() || Item.get<double>() <= 0 ||
+        Item.get<double>() > MaxFactor)
+      Fields.fail(ResultCode::BadField, Fields.path() + "." + Name +
+                                            " must be an array of positive "
+                                            "numbers");
+    else
+      Out.push_back(Item.get<double>());
+  }
+  return Out;
+}
+
 void parseService(JsonFields &Fields, LoadPattern &Out) {
   ServiceModel Model;
   Model.Group = Fields.text("name");
@@ -71,6 +86,10 @@
   if (Model.Pause >= Model.PauseInterval && Model.Pause > Duration(0))
     Fields.fail(ResultCode::BadField,
                 Fields.path() + ".pause_interval_ms must exceed pause_ms");
+  for (double Factor : numbers(Fields, "work_factors"))
+    Model.WorkFactors.push_back(Factor);
+  for (double Slots : numbers(Fields, "slot_counts"))
+    Model.SlotCounts.push_back(static_cast<uint32_t>(Slots));
   uint32_t Count = count(Fields, "count", 1, 1);
   for (uint32_t I = 1; I <= Count; ++I) {
     Model.Id = ServiceId(Count == 1 ? Model.Group
@@ -94,6 +113,11 @@
       [&](const RouteModel &R) { return R.Definition.Id == Id; });
 }
 
+bool isTeam(const LoadPattern &Pattern, const TeamId &Id) {
+  return std::any_of(Pattern.Callers.begin(), Pattern.Callers.end(),
+                     [&](const CallerModel &C) { return C.Team == Id; });
+}
+
 void parseRoute(JsonFields &Fields, LoadPattern &Out) {
   RouteModel Model;
   Route &R = Model.Definition;
@@ -131,6 +155,8 @@
 void parseCaller(JsonFields &Fields, LoadPattern &Out) {
   CallerModel Model;
   Model.Route = RouteId(Fields.text("route"));
+  Model.Team = TeamId(Fields.textOr("team", ""));
+  Model.Zone = count(Fields, "zone", 0, 0);
   Model.ClosedLoop = count(Fields, "closed_loop", 0, 0);
   Model.ThinkTime = milliseconds(Fields, "think_ms", MaxTimeMs, 0);
   Model.RatePerSecond = Fields.decimalOr("rate_per_s", 0, MaxCount, 0);
@@ -139,6 +165,9 @@
     Fields.fail(ResultCode::BadField, Fields.path() + ".route names \"" +
                                           Model.Route.text() +
                                           "\", which is not a route");
+  if (Model.Zone > std::min(Out.Zones, Out.Hosts))
+    Fields.fail(ResultCode::BadField,
+                Fields.path() + ".zone must be that of a host");
   if ((Model.ClosedLoop > 0) == (Model.RatePerSecond > 0))
     Fields.fail(ResultCode::BadField,
                 Fields.path() + " needs either closed_loop or rate_per_s");
@@ -162,12 +191,17 @@
   else
     Model.Kind = Found->second;
   bool IsBurst = Model.Kind == ModelEventKind::Burst;
-  Model.Subject = Fields.text(IsBurst ? "route" : "service");
-  if (IsBurst ? !isRoute(Out, RouteId(Model.Subject))
-              : servicesOfGroup(Out, Model.Subject).empty())
+  std::string Team = Fields.textOr("team", "");
+  bool IsTeamBurst = IsBurst && !Team.empty();
+  Model.Subject =
+      IsTeamBurst ? Team : Fields.text(IsBurst ? "route" : "service");
+  if (IsTeamBurst ? !isTeam(Out, TeamId(Team))
+      : IsBurst   ? !isRoute(Out, RouteId(Model.Subject))
+                  : servicesOfGroup(Out, Model.Subject).empty())
     Fields.fail(ResultCode::BadField, Fields.path() + " names \"" +
                                           Model.Subject +
                                           "\", which does not exist");
+  Model.FirstServer = count(Fields, "first_server", 1, 1);
   Model.Servers = count(Fields, "servers", 0, 0);
   Model.Factor = Fields.decimalOr("factor", 0, MaxFactor, 1);
   Out.Events.push_back(std::move(Model));
--- a/model/load_pattern.h
+++ b/model/load_pattern.h
@@ -38,6 +38,10 @@
   uint32_t MaxConnections = 1;
   /// Service time relative to the work of a route.
   double WorkFactor = 1;
+  /// Factors of WorkFactor, and numbers of slots in place of Slots, for the
+  /// backend servers in turn; empty if all are alike.
+  std::vector<double> WorkFactors;
+  std::vector<uint32_t> SlotCounts;
   /// Each backend server stands still for this time, at its own times.
   Duration Pause{0};
   Duration PauseInterval{0};
@@ -55,6 +59,10 @@
 /// Callers that send the requests of one route.
 struct CallerModel {
   RouteId Route;
+  /// The team of the callers; empty if they have none.
+  TeamId Team;
+  /// The zone whose hosts they ask, from 1; 0 for all hosts.
+  uint32_t Zone = 0;
   /// Callers that each send one request at a time; 0 for an open loop.
   uint32_t ClosedLoop = 0;
   /// Pause of a closed-loop caller after each answer.
@@ -89,9 +97,11 @@
   MonotonicTime At;
   Duration For{0};
   ModelEventKind Kind = ModelEventKind::Slow;
-  /// Group of the services, or name of the route of a burst.
+  /// Group of the services, or name of the route or the team of a burst.
   std::string Subject;
-  /// Number of backend servers of each service; 0 for all.
+  /// The first affected backend server of each service, from 1.
+  uint32_t FirstServer = 1;
+  /// Number of backend servers of each service; 0 for all that follow.
   uint32_t Servers = 0;
   double Factor = 1;
 };
--- a/model/server_model.cpp
+++ b/model/server_model.cpp
@@ -33,9 +33,9 @@
     Reply({ServerOutcome::ConnectionRefused, {}});
     return Key;
   }
-  bool Full =
-      Running.size() >= Service.Slots && Waiting.size() >= Service.QueueLimit;
+  bool Full = Running.size() >= Slots && Waiting.size() >= Service.QueueLimit;
   if (Full || Notice.Pause > Duration(0) || Rng.uniform01() < ShedShare) {
+    ++Refusals;
     Reply({ServerOutcome::NotRun, Notice});
     return Key;
   }
@@ -45,11 +45,11 @@
 }
 
 void ServerModel::startNext() {
-  while (!Waiting.empty() && Running.size() < Service.Slots) {
+  while (!Waiting.empty() && Running.size() < Slots) {
     Request Next = std::move(Waiting.front());
     Waiting.pop_front();
     Running.insert(Next.Key);
-    Duration Work = scaled(Next.Work, Service.WorkFactor * SlowFactor);
+    Duration Work = scaled(Next.Work, WorkFactor * SlowFactor);
     Queue.add(endOfWork(Queue.now(), Work),
               [this, Key = Next.Key, Reply = std::move(Next.Reply)] {
                 if (Running.erase(Key) == 0)
--- a/model/server_model.h
+++ b/model/server_model.h
@@ -27,13 +27,28 @@
   /// Identifies a request at one server.
   using RequestKey = uint64_t;
 
-  ServerModel(EventQueue &Queue, Random &Rng, const ServiceModel &Service)
+  /// The \p Number-th backend server of \p Service, from 1.
+  ServerModel(EventQueue &Queue, Random &Rng, const ServiceModel &Service,
+              uint32_t Number)
       : Queue(Queue), Rng(Rng), Service(Service),
+        Slots(slotsOf(Service, Number)),
+        WorkFactor(workFactorOf(Service, Number)),
         PausePhase(Service.PauseInterval > Duration(0)
                        ? static_cast<int64_t>(Rng.below(static_cast<uint64_t>(
                              Service.PauseInterval.count())))
                        : 0) {}
 
+  static uint32_t slotsOf(const ServiceModel &Service, uint32_t Number) {
+    const std::vector<uint32_t> &Counts = Service.SlotCounts;
+    return Counts.empty() ? Service.Slots
+                          : Counts[(Number - 1) % Counts.size()];
+  }
+  static double workFactorOf(const ServiceModel &Service, uint32_t Number) {
+    const std::vector<double> &Factors = Service.WorkFactors;
+    return Service.WorkFactor *
+           (Factors.empty() ? 1 : Factors[(Number - 1) % Factors.size()]);
+  }
+
   /// A request arrives that takes \p Work at a server without faults. Calls
   /// \p Reply once, unless the server is silent or the request is cancelled.
   RequestKey arrive(Duration Work, ReplyFunction Reply);
@@ -42,6 +57,8 @@
 
   /// When each request has arrived.
   const std::vector<MonotonicTime> &arrivals() const { return Arrivals; }
+  /// Number of requests that it has refused.
+  uint64_t refusals() const { return Refusals; }
 
   /// Begins or ends a fault.
   void setFault(const ModelEvent &Event, bool Active);
@@ -60,6 +77,8 @@
   EventQueue &Queue;
   Random &Rng;
   const ServiceModel &Service;
+  uint32_t Slots;
+  double WorkFactor;
   Duration PausePhase;
   double SlowFactor = 1;
   double ShedShare = 0;
@@ -68,6 +87,7 @@
   /// What it states in its answers.
   ServerNotice Notice;
   std::vector<MonotonicTime> Arrivals;
+  uint64_t Refusals = 0;
   RequestKey LastKey = 0;
   std::set<RequestKey> Running;
   std::deque<Request> Waiting;
--- a/model/simulation.cpp
+++ b/model/simulation.cpp
@@ -33,9 +33,9 @@
   using EndFunction = std::function<void(const Query &, RequestOutcome)>;
 
   Query(EventQueue &Queue, Random &Rng, HostModel &Host,
-        const RouteModel &Model, EndFunction Ended)
+        const RouteModel &Model, TeamId Team, EndFunction Ended)
       : Queue(Queue), Rng(Rng), Host(Host), Definition(Model.Definition),
-        AskedAt(Queue.now()), Ended(std::move(Ended)) {
+        Team(std::move(Team)), AskedAt(Queue.now()), Ended(std::move(Ended)) {
     if (!Definition.isGather())
       Definition.Shards = {
           Definition.Targets[Rng.below(Definition.Targets.size())].Service};
@@ -66,6 +66,11 @@
 
   const Route &route() const { return Definition; }
   MonotonicTime askedAt() const { return AskedAt; }
+  /// Share of the shards with a result.
+  double coverage() const {
+    return 1 - static_cast<double>(State->missingShards()) /
+                   static_cast<double>(State->totalShards());
+  }
   /// When a refused caller may return.
   Duration returnAfter() const {
     return retryAfter(LastReason, AvailableIn, Rng);
@@ -78,6 +83,7 @@
     Out.Route = Definition.Id;
     Out.Idempotent = Definition.Idempotent;
     Out.MaxAttempts = Definition.MaxAttempts;
+    Out.Team = Team;
     Out.Priority = Definition.Priority;
     Out.TargetLatency = Definition.TargetLatency;
     Out.Deadline = Times.Deadline;
@@ -124,6 +130,7 @@
   Random &Rng;
   HostModel &Host;
   Route Definition;
+  TeamId Team;
   MonotonicTime AskedAt;
   EndFunction Ended;
   GatherTimes Times;
@@ -142,7 +149,7 @@
   for (const ServiceModel &Service : Pattern.Services)
     for (uint32_t I = 1; I <= Service.Servers; ++I)
       Servers.emplace(serverIdOf(Service.Id, I),
-                      std::make_unique<ServerModel>(Queue, Rng, Service));
+                      std::make_unique<ServerModel>(Queue, Rng, Service, I));
   for (uint32_t I = 0; I < Pattern.Hosts; ++I)
     Hosts.push_back(
         std::make_unique<HostModel>(Pattern, I, Queue, Rng, Servers));
@@ -182,51 +189,68 @@
 }
 
 void Simulation::startClosedLoop(const CallerModel &Caller) {
-  ask(Caller, Caller.Retries, [this, &Caller] {
+  ask(Caller, Queue.now(), Caller.Retries, [this, &Caller] {
     Queue.add(Queue.now() + Caller.ThinkTime,
               [this, &Caller] { startClosedLoop(Caller); });
   });
 }
 
 void Simulation::scheduleArrival(const CallerModel &Caller) {
-  auto Burst = BurstFactors.find(Caller.Route);
-  double Rate =
-      Caller.RatePerSecond * (Burst == BurstFactors.end() ? 1 : Burst->second);
+  double Rate = Caller.RatePerSecond;
+  for (const std::string &Name : {Caller.Route.text(), Caller.Team.text()})
+    if (auto Burst = BurstFactors.find(Name); Burst != BurstFactors.end())
+      Rate *= Burst->second;
   double Wait = -std::log(1 - Rng.uniform01()) / Rate;
   auto Delay =
       std::chrono::duration_cast<Duration>(std::chrono::duration<double>(Wait));
   Queue.add(Queue.now() + Delay, [this, &Caller] {
-    ask(Caller, Caller.Retries, [] {});
+    ask(Caller, Queue.now(), Caller.Retries, [] {});
     scheduleArrival(Caller);
   });
 }
 
-void Simulation::ask(const CallerModel &Caller, uint32_t RetriesLeft,
-                     const std::function<void()> &Ended) {
-  HostModel &Host = *Hosts[Rng.below(Hosts.size())];
-  auto OnEnd = [this, &Caller, RetriesLeft, Ended](const Query &Done,
-                                                   RequestOutcome Outcome) {
-    record(Done, Outcome);
+HostModel &Simulation::chooseHost(const CallerModel &Caller) {
+  if (Caller.Zone == 0)
+    return *Hosts[Rng.below(Hosts.size())];
+  // The hosts are assigned to the zones in turn.
+  size_t First = Caller.Zone - 1;
+  size_t Count = (Hosts.size() - First + Pattern.Zones - 1) / Pattern.Zones;
+  return *Hosts[First + Rng.below(Count) * Pattern.Zones];
+}
+
+void Simulation::ask(const CallerModel &Caller, MonotonicTime FirstAskedAt,
+                     uint32_t RetriesLeft, const std::function<void()> &Ended) {
+  HostModel &Host = chooseHost(Caller);
+  auto OnEnd = [this, &Caller, FirstAskedAt, RetriesLeft,
+                Ended](const Query &Done, RequestOutcome Outcome) {
     bool Served = Outcome == RequestOutcome::Complete ||
                   Outcome == RequestOutcome::Partial;
+    RequestRecord Record;
+    Record.Team = Caller.Team;
+    Record.FirstAskedAt = FirstAskedAt;
+    Record.Final = Served || RetriesLeft == 0;
+    record(std::move(Record), Done, Outcome);
     if (Served || RetriesLeft == 0)
       return Ended();
     Duration Delay =
         Outcome == RequestOutcome::Refused ? Done.returnAfter() : RetryDelay;
-    Queue.add(Queue.now() + Delay, [this, &Caller, RetriesLeft, Ended] {
-      ask(Caller, RetriesLeft - 1, Ended);
-    });
+    Queue.add(Queue.now() + Delay,
+              [this, &Caller, FirstAskedAt, RetriesLeft, Ended] {
+                ask(Caller, FirstAskedAt, RetriesLeft - 1, Ended);
+              });
   };
-  std::make_shared<Query>(Queue, Rng, Host, route(Caller.Route), OnEnd)
+  std::make_shared<Query>(Queue, Rng, Host, route(Caller.Route), Caller.Team,
+                          OnEnd)
       ->start();
 }
 
-void Simulation::record(const Query &Ended, RequestOutcome Outcome) {
-  RequestRecord Record;
+void Simulation::record(RequestRecord Record, const Query &Ended,
+                        RequestOutcome Outcome) {
   Record.Route = Ended.route().Id;
   Record.AskedAt = Ended.askedAt();
   Record.EndedAt = Queue.now();
   Record.Outcome = Outcome;
+  Record.Coverage = Ended.coverage();
   Record.Late = Record.latency() > Ended.route().TargetLatency;
   Records.push_back(std::move(Record));
 }
@@ -240,20 +264,48 @@
 
 void Simulation::setFault(const ModelEvent &Event, bool Active) {
   if (Event.Kind == ModelEventKind::Burst) {
-    BurstFactors[RouteId(Event.Subject)] = Active ? Event.Factor : 1;
+    BurstFactors[Event.Subject] = Active ? Event.Factor : 1;
     return;
   }
   for (const ServiceModel &Service : Pattern.Services) {
     if (Service.Group != Event.Subject)
       continue;
-    uint32_t Affected = Event.Servers == 0
-                            ? Service.Servers
-                            : std::min(Event.Servers, Service.Servers);
-    for (uint32_t I = 1; I <= Affected; ++I)
+    uint32_t Last =
+        Event.Servers == 0
+            ? Service.Servers
+            : std::min(Event.FirstServer + Event.Servers - 1, Service.Servers);
+    for (uint32_t I = Event.FirstServer; I <= Last; ++I)
       Servers.at(serverIdOf(Service.Id, I))->setFault(Event, Active);
   }
 }
 
+double RequestRecord::worth(Duration TargetLatency) const {
+  constexpr double LateShare = 0.1;
+  if (!served())
+    return 0;
+  bool InTime = EndedAt - FirstAskedAt <= TargetLatency;
+  return Coverage * Coverage * (InTime ? 1 : LateShare);
+}
+
+CallerSummary summarizeCallers(const std::vector<RequestRecord> &Records,
+                               MonotonicTime From, MonotonicTime To,
+                               Duration TargetLatency) {
+  CallerSummary Out;
+  for (const RequestRecord &R : Records) {
+    if (!R.Final || R.FirstAskedAt < From || R.FirstAskedAt >= To)
+      continue;
+    ++Out.Callers;
+    bool InTime = R.EndedAt - R.FirstAskedAt <= TargetLatency;
+    Out.InTime += R.served() && InTime ? 1 : 0;
+    Out.Late += R.served() && !InTime ? 1 : 0;
+    Out.Refused += R.Outcome == RequestOutcome::Refused ? 1 : 0;
+    Out.Failed += R.Outcome == RequestOutcome::Failed ? 1 : 0;
+    Out.Worth += R.worth(TargetLatency);
+  }
+  Out.Worth /= std::max<double>(1, static_cast<double>(Out.Callers));
+  return Out;
+}
+
 std::vector<WindowSummary> summarize(const std::vector<RequestRecord> &Records,
                                      Duration Window) {
   std::map<std::pair<int64_t, RouteId>, WindowSummary> Windows;
