Queue calls of one priority fairly between teams

Cause: CallScheduler queued by priority and arrival, so that one team's queue delayed all others of its priority.

Change: the deficit round robin of admission/fair_queue is a template in base/ and orders the queued calls of one priority by team. The expected wait counts the calls that go before a new one in that order.

--- a/admission/admission_queue.cpp
+++ b/admission/admission_queue.cpp
@@ -36,7 +36,7 @@
   Services.clear();
   for (const AdmissionService &Service : NewServices) {
     Services.emplace(Service.Service, Service);
-    for (FairQueue &Queue : Queues)
+    for (ServiceQueue &Queue : Queues)
       Queue.setWeight(Service.Service, Service.Weight);
   }
 }
@@ -109,8 +109,8 @@
 }
 
 std::optional<RequestId> AdmissionQueue::popNext() {
-  FairQueue &Interactive = queue(RequestClass::Interactive);
-  FairQueue &Batch = queue(RequestClass::Batch);
+  ServiceQueue &Interactive = queue(RequestClass::Interactive);
+  ServiceQueue &Batch = queue(RequestClass::Batch);
   if (Batch.size() == 0)
     return Interactive.pop();
   if (Interactive.size() == 0)
@@ -173,7 +173,7 @@
   bool StartsAtOnce = Entries.empty() && Running.size() < Limit.current();
   if (!Throughput || StartsAtOnce)
     return Duration::zero();
-  double Ahead = queue(Class).queriesAhead(Service);
+  double Ahead = queue(Class).itemsAhead(Service);
   double WaitSeconds = 0;
   if (Class == RequestClass::Interactive) {
     double Rate = *Throughput;
--- a/admission/admission_queue.h
+++ b/admission/admission_queue.h
@@ -12,7 +12,7 @@
 //   (see concurrency_limit.h).
 // * Interactive queries start before batch queries, but while both wait every
 //   20th start goes to batch. Within a class, services share the starts by
-//   weight (see fair_queue.h).
+//   weight (see base/fair_queue.h).
 // * The queue limit of a service bounds its waiting queries. Batch queries do
 //   not take places from interactive ones: an interactive query is refused only
 //   if the interactive queries reach the limit, a batch query if the waiting
@@ -30,8 +30,8 @@
 #define MIMOSA_ADMISSION_ADMISSION_QUEUE_H
 
 #include "admission/concurrency_limit.h"
-#include "admission/fair_queue.h"
 #include "admission/request_class.h"
+#include "base/fair_queue.h"
 #include "base/ids.h"
 #include "base/result.h"
 #include "base/time.h"
@@ -142,10 +142,12 @@
     MonotonicTime ArrivedAt;
   };
 
-  FairQueue &queue(RequestClass Class) {
+  using ServiceQueue = FairQueue<ServiceId, RequestId>;
+
+  ServiceQueue &queue(RequestClass Class) {
     return Queues[static_cast<size_t>(Class)];
   }
-  const FairQueue &queue(RequestClass Class) const {
+  const ServiceQueue &queue(RequestClass Class) const {
     return Queues[static_cast<size_t>(Class)];
   }
   /// Whether the waiting queries of the service reach its queue limit.
@@ -162,7 +164,7 @@
   ConcurrencyLimit Limit;
   AdmissionCounters Counters;
   std::unordered_map<ServiceId, AdmissionService> Services;
-  std::array<FairQueue, RequestClassCount> Queues;
+  std::array<ServiceQueue, RequestClassCount> Queues;
   std::unordered_map<RequestId, WaitingQuery> Entries;
   std::set<std::pair<MonotonicTime, RequestId>> ByDeadline;
   /// Start times of the running queries.
--- a/admission/admission_queue_test.cpp
+++ b/admission/admission_queue_test.cpp
@@ -36,7 +36,7 @@
 // Guards against a service that gets more than the share of its weight, or that
 // starves while others are served.
 RC_GTEST_PROP(FairQueue, BackloggedServicesShareByWeight, ()) {
-  FairQueue Queue;
+  FairQueue<ServiceId, RequestId> Queue;
   auto Weights = *rc::gen::nonEmpty(rc::gen::container<std::vector<int>>(
       rc::gen::resize(rc::kNominalSize, rc::gen::inRange(1, 8))));
   int WeightSum = 0;
--- a/balance/call_queue.cpp
+++ b/balance/call_queue.cpp
@@ -15,7 +15,7 @@
 /// model/overload_test.cpp.
 constexpr double LatencyAllowance = 2;
 /// Calls of a service that may always queue, whatever its servers' latencies.
-constexpr size_t MinQueueLength = 1;
+constexpr double MinQueueLength = 1;
 /// Lower bound of the capacity in expectedLateness(): one backend server that
 /// is ten times slower than usual.
 constexpr double MinCapacity = 0.1;
@@ -32,28 +32,33 @@
   return Queue;
 }
 
-size_t CallScheduler::callsAhead(const ServiceId &Service,
-                                 uint32_t Priority) const {
+double CallScheduler::callsAhead(const ServiceId &Service, uint32_t Priority,
+                                 const TeamId &Team) const {
   auto Found = Queues.find(Service);
   if (Found == Queues.end())
     return 0;
-  const auto &Waiting = Found->second.Waiting;
-  return static_cast<size_t>(
-      std::count_if(Waiting.begin(), Waiting.end(), [&](const auto &Entry) {
-        return Entry.first.first <= Priority;
-      }));
+  double Ahead = 0;
+  for (const auto &[Each, Waiting] : Found->second.Waiting) {
+    if (Each > Priority)
+      break;
+    Ahead += static_cast<double>(Each < Priority ? Waiting.size()
+                                                 : Waiting.Retries.size());
+    if (Each == Priority)
+      Ahead += Waiting.First.itemsAhead(Team);
+  }
+  return Ahead;
 }
 
 MonotonicTime CallScheduler::expectedSendAt(const ServiceId &Service,
                                             uint32_t Priority,
+                                            const TeamId &Team,
                                             MonotonicTime Now) const {
-  return expectedSendAt(Service, Priority, {}, Now);
+  return expectedSendAt(Service, Priority, Team, {}, Now);
 }
 
-MonotonicTime
-CallScheduler::expectedSendAt(const ServiceId &Service, uint32_t Priority,
-                              const std::vector<BackendServerPtr> &Tried,
-                              MonotonicTime Now) const {
+MonotonicTime CallScheduler::expectedSendAt(
+    const ServiceId &Service, uint32_t Priority, const TeamId &Team,
+    const std::vector<BackendServerPtr> &Tried, MonotonicTime Now) const {
   MonotonicTime Earliest = Registry.earliestSendAt(Service, Tried, Now);
   if (Earliest == MonotonicTime::max())
     return Earliest;
@@ -68,13 +73,13 @@
   }
   if (PerSecond == 0)
     return Earliest;
-  auto Ahead = static_cast<double>(callsAhead(Service, Priority));
+  double Ahead = callsAhead(Service, Priority, Team);
   return Earliest + scaled(Seconds(1), Ahead / PerSecond);
 }
 
 Duration CallScheduler::expectedLateness(const CallRequest &Request,
                                          MonotonicTime Now) {
-  size_t Ahead = callsAhead(Request.Service, Request.Priority);
+  double Ahead = callsAhead(Request.Service, Request.Priority, Request.Team);
   if (Ahead < MinQueueLength)
     return Duration(0);
   Duration Typical = typicalLatency(Request);
@@ -82,15 +87,15 @@
   double Capacity = 0;
   for (const BackendServerPtr &Server : Registry.servers(Request.Service))
     Capacity += Registry.expectedRuns(*Server, Typical, Now);
-  double Rounds = static_cast<double>(Ahead) / std::max(MinCapacity, Capacity);
+  double Rounds = Ahead / std::max(MinCapacity, Capacity);
   MonotonicTime EndsAt = Now + scaled(Typical, Rounds + LatencyAllowance);
   return std::max(Duration(0), EndsAt - Request.UsefulUntil);
 }
 
 bool CallScheduler::heldBackTooLong(const CallState &Call, MonotonicTime Now) {
   const CallRequest &Request = Call.Request;
-  MonotonicTime SendAt =
-      expectedSendAt(Request.Service, Request.Priority, Call.TriedServers, Now);
+  MonotonicTime SendAt = expectedSendAt(Request.Service, Request.Priority,
+                                        Request.Team, Call.TriedServers, Now);
   return SendAt > Now && SendAt > latestSendTime(Request);
 }
 
@@ -146,9 +151,11 @@
   ++Counters.QueuedCalls;
   Call.Waiting = true;
   setWakeUp(It->first, Call, latestSendTime(Request));
-  queue(Request.Service)
-      .Waiting.emplace(WaitKey{Request.Priority, It->first.number()},
-                       It->first);
+  PriorityQueue &Waiting = queue(Request.Service).Waiting[Request.Priority];
+  if (Call.AttemptCount > 0)
+    Waiting.Retries.insert(It->first);
+  else
+    Waiting.First.push(Request.Team, It->first);
   setQueueWakeUp(Request.Service, Now);
 }
 
@@ -172,36 +179,73 @@
   if (!Call.Waiting)
     return;
   Call.Waiting = false;
-  queue(Call.Request.Service)
-      .Waiting.erase(WaitKey{Call.Request.Priority, Id.number()});
+  auto &Classes = queue(Call.Request.Service).Waiting;
+  auto Class = Classes.find(Call.Request.Priority);
+  FairQueue<TeamId, CallId> &First = Class->second.First;
+  // Only pop() moves on to the next team.
+  if (const CallId *Next = First.front(); Next && *Next == Id)
+    First.pop();
+  else if (Class->second.Retries.erase(Id) == 0)
+    First.remove(Call.Request.Team, Id);
+  if (Class->second.size() == 0)
+    Classes.erase(Class);
+}
+
+bool CallScheduler::sendWaitingCall(CallMap::iterator It, MonotonicTime Now) {
+  BackendServerPtr Server = choose(It->second, Now);
+  if (!Server)
+    return false;
+  bool IsRetry = It->second.AttemptCount > 0;
+  dequeue(It->second, It->first);
+  if (IsRetry)
+    retry(It, Server, Now);
+  else
+    sendTo(It, Server, false, Now);
+  return true;
 }
 
 void CallScheduler::sendWaiting(const ServiceId &Service, MonotonicTime Now) {
-  ServiceQueue &Queue = queue(Service);
-  for (auto Next = Queue.Waiting.begin(); Next != Queue.Waiting.end();) {
-    auto It = Calls.find(Next->second);
-    // The entry is removed when its call is sent or ends.
-    ++Next;
-    CallState &Call = It->second;
-    bool IsRetry = Call.AttemptCount > 0;
-    BackendServerPtr Server = choose(Call, Now);
-    if (!Server && !IsRetry)
+  std::vector<uint32_t> Priorities;
+  for (const auto &[Priority, Waiting] : queue(Service).Waiting)
+    Priorities.push_back(Priority);
+  for (uint32_t Priority : Priorities)
+    if (!sendWaiting(Service, Priority, Now))
       break;
-    // Other calls may still use the backend servers that refused this one.
-    if (!Server)
-      continue;
-    dequeue(Call, It->first);
-    if (IsRetry)
-      retry(It, Server, Now);
-    else
-      sendTo(It, Server, false, Now);
-  }
   setQueueWakeUp(Service, Now);
 }
 
+bool CallScheduler::sendWaiting(const ServiceId &Service, uint32_t Priority,
+                                MonotonicTime Now) {
+  // A class ceases to exist when its last call is sent or ends.
+  auto &Classes = queue(Service).Waiting;
+  auto Class = Classes.find(Priority);
+  if (Class == Classes.end())
+    return true;
+  // Other calls may still use the backend servers that refused one of these.
+  std::vector<CallId> Retries(Class->second.Retries.begin(),
+                              Class->second.Retries.end());
+  for (CallId Id : Retries)
+    if (auto It = Calls.find(Id); It != Calls.end() && It->second.Waiting)
+      sendWaitingCall(It, Now);
+  while (true) {
+    Class = Classes.find(Priority);
+    if (Class == Classes.end())
+      return true;
+    const CallId *Next = Class->second.First.front();
+    if (!Next)
+      return true;
+    if (!sendWaitingCall(Calls.find(*Next), Now))
+      return false;
+  }
+}
+
 size_t CallScheduler::waitingCalls(const ServiceId &Service) const {
   auto Found = Queues.find(Service);
-  return Found == Queues.end() ? 0 : Found->second.Waiting.size();
+  size_t Count = 0;
+  if (Found != Queues.end())
+    for (const auto &[Priority, Waiting] : Found->second.Waiting)
+      Count += Waiting.size();
+  return Count;
 }
 
 } // namespace mimosa
--- a/balance/call_scheduler.cpp
+++ b/balance/call_scheduler.cpp
@@ -93,7 +93,7 @@
   }
   bool IsFirst =
       queue(Request.Service).Waiting.empty() ||
-      Request.Priority < queue(Request.Service).Waiting.begin()->first.first;
+      Request.Priority < queue(Request.Service).Waiting.begin()->first;
   if (IsFirst)
     if (BackendServerPtr Server = choose(It->second, Now))
       return sendTo(It, Server, false, Now);
--- a/balance/call_scheduler.h
+++ b/balance/call_scheduler.h
@@ -20,6 +20,8 @@
 //   is taken from the retry budget.
 // * All backend servers of a service are busy: calls are queued here, by
 //   priority, and not at the backend servers, whose queues have no priorities.
+// * A team asks for much more than usual, or its callers retry at once: within
+//   a priority the teams with queued calls are served in turn.
 // * There are more calls than the service can run: if all were run in order,
 //   every answer would be late. A queued call that can no longer be answered by
 //   UsefulUntil ends as NotRun, and a new call does so at once if the queue is
@@ -48,10 +50,12 @@
 #include "balance/retry_budget.h"
 #include "balance/server_registry.h"
 #include "balance/typical_latency.h"
+#include "base/fair_queue.h"
 
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace mimosa {
 
@@ -142,7 +146,7 @@
   /// a new call to be sent, behind those that are queued; the latest of all
   /// times if no backend server is usable. Other limits are not considered.
   MonotonicTime expectedSendAt(const ServiceId &Service, uint32_t Priority,
-                               MonotonicTime Now) const;
+                               const TeamId &Team, MonotonicTime Now) const;
 
   /// How long the queue of \p Request's service would have to shrink before
   /// \p Request, if it began now, could be answered by its UsefulUntil; 0 if it
@@ -219,10 +223,17 @@
     uint32_t NoHedgeServer = 0;
     uint32_t NoHedgeBudget = 0;
   };
-  /// Priority, and order of arrival.
-  using WaitKey = std::pair<uint32_t, uint64_t>;
+  /// The queued calls of one priority.
+  struct PriorityQueue {
+    /// Calls with a declined or failed attempt, in the order of arrival. They
+    /// are sent before the others.
+    std::set<CallId> Retries;
+    FairQueue<TeamId, CallId> First;
+    size_t size() const { return Retries.size() + First.size(); }
+  };
   struct ServiceQueue {
-    std::map<WaitKey, CallId> Waiting;
+    /// By priority; none is empty.
+    std::map<uint32_t, PriorityQueue> Waiting;
     RetryBudget Budget;
     /// When a backend server ceases to be held back, if calls wait for it.
     MonotonicTime WakeUpAt = MonotonicTime::max();
@@ -252,10 +263,12 @@
   /// Sets when queued calls of \p Service are to be sent if no call ends
   /// before.
   void setQueueWakeUp(const ServiceId &Service, MonotonicTime Now);
-  /// Number of queued calls that are sent before one of \p Priority.
-  size_t callsAhead(const ServiceId &Service, uint32_t Priority) const;
+  /// Number of queued calls that are sent before a new one.
+  double callsAhead(const ServiceId &Service, uint32_t Priority,
+                    const TeamId &Team) const;
   /// See expectedSendAt().
   MonotonicTime expectedSendAt(const ServiceId &Service, uint32_t Priority,
+                               const TeamId &Team,
                                const std::vector<BackendServerPtr> &Tried,
                                MonotonicTime Now) const;
   void dequeue(CallState &Call, CallId Id);
@@ -281,6 +294,12 @@
               MonotonicTime Now);
   /// Sends queued calls of \p Service as far as backend servers can take them.
   void sendWaiting(const ServiceId &Service, MonotonicTime Now);
+  /// The same for one priority; false if calls without an attempt are left,
+  /// since no backend server can take one.
+  bool sendWaiting(const ServiceId &Service, uint32_t Priority,
+                   MonotonicTime Now);
+  /// Sends a queued call if a backend server can take it.
+  bool sendWaitingCall(CallMap::iterator It, MonotonicTime Now);
   void setWakeUp(CallId Id, CallState &Call, MonotonicTime At);
   void notifyEarlierWakeUp(MonotonicTime At);
   /// Removes an attempt and moves its state to \p Out. Returns its call, or
--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -348,7 +348,9 @@
 Duration EntryService::availableIn(const RequestContext &Context,
                                    const ServiceId &Service) const {
   MonotonicTime Now = Loop.now();
-  MonotonicTime At = Scheduler.expectedSendAt(Service, Context.Priority, Now);
+  MonotonicTime At = Scheduler.expectedSendAt(
+      Service, Context.Priority,
+      Context.CallerTeam ? Context.CallerTeam->Id : TeamId(), Now);
   return At == MonotonicTime::max() ? Duration(0) : At - Now;
 }
 
@@ -427,8 +429,10 @@
                              MonotonicTime Now) const {
   std::vector<ServiceId> Out;
   for (const ServiceId &Shard : Context.MatchedRoute.Shards)
-    if (Scheduler.expectedSendAt(Shard, Context.Priority, Now) >
-        Context.Times.PartialFrom)
+    if (Scheduler.expectedSendAt(Shard, Context.Priority,
+                                 Context.CallerTeam ? Context.CallerTeam->Id
+                                                    : TeamId(),
+                                 Now) > Context.Times.PartialFrom)
       Out.push_back(Shard);
   return Out;
 }
--- a/gather/gather_query.cpp
+++ b/gather/gather_query.cpp
@@ -43,7 +43,8 @@
   std::vector<CoverageForecast> Late;
   for (const ServiceId &Shard : R.Shards) {
     Call.Service = Shard;
-    MonotonicTime SendAt = Scheduler.expectedSendAt(Shard, Call.Priority, Now);
+    MonotonicTime SendAt =
+        Scheduler.expectedSendAt(Shard, Call.Priority, Call.Team, Now);
     if (SendAt == MonotonicTime::max())
       Late.push_back({CallReason::Unavailable, Duration::max()});
     else if (SendAt > Call.UsefulUntil)
