Use backend servers of about equal cost in turn

Cause: each host sent its requests to the backend server with the least cost, which differs by the scatter of a few latencies, so that backend servers were busy in turn while others idled.

Change: of those within a factor of 1.25 of the least cost a host takes one of its own zone, and of these the one that it has used least recently.

--- a/balance/backend_server.cpp
+++ b/balance/backend_server.cpp
@@ -81,6 +81,7 @@
 
 void BackendServer::recordSend(MonotonicTime Now) {
   SentTimes.push_back(Now);
+  LastSentAt = Now;
   if (!cold(Now)) {
     ColdSends.clear();
     return;
--- a/balance/backend_server.h
+++ b/balance/backend_server.h
@@ -117,6 +117,8 @@
     Pushback = Former.Pushback;
   }
 
+  /// When this host has sent the last request to it.
+  MonotonicTime lastSentAt() const { return LastSentAt; }
   uint32_t inFlight() const { return static_cast<uint32_t>(SentTimes.size()); }
   /// Expected latency of one more request, relative to the typical latency.
   /// \p TypicalLatency shows whether requests in flight are overdue.
@@ -158,6 +160,7 @@
   MonotonicTime EjectedUntil;
   /// When each request in flight was sent, oldest first.
   std::vector<MonotonicTime> SentTimes;
+  MonotonicTime LastSentAt;
   /// When requests were sent in the last second while cold, oldest first.
   std::vector<MonotonicTime> ColdSends;
 };
--- a/balance/server_registry.cpp
+++ b/balance/server_registry.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <tuple>
 #include <utility>
 
 namespace mimosa {
@@ -26,9 +27,10 @@
 /// is chosen only if it is better by this factor and the round trip.
 constexpr double CrossZoneFactor = 1.15;
 constexpr Duration CrossZoneRoundTrip = Milliseconds(2);
-/// Random spread of the costs, so that hosts do not all choose the same backend
-/// server.
-constexpr double Jitter = 0.1;
+/// Backend servers whose costs differ by at most this factor count as equally
+/// good. Averages of a few latencies scatter by a tenth, and choosing the least
+/// one sends each host's requests to one backend server at a time.
+constexpr double EqualCost = 1.25;
 /// Share of the limit on requests to a cold backend server that is used,
 /// because the hosts do not count the same seconds.
 constexpr double ColdLimitShare = 0.8;
@@ -319,6 +321,8 @@
   BackendServerPtr Best;
   double BestCost = 0;
   bool BestIsAvoided = false;
+  Candidates.clear();
+  auto Best = std::make_pair(true, std::numeric_limits<double>::max());
   for (const BackendServerPtr &Server : servers(Service)) {
     if (!usable(*Server) || contains(Criteria.TriedServers, Server) ||
         !IsEligible(*Server) || !belowLimits(*Server, Now))
@@ -329,20 +333,29 @@
     double Cost = selectionCost(*Server, Criteria, Now);
     if (Criteria.MaxCost > 0 && Cost > Criteria.MaxCost)
       continue;
-    if (Ejected && !Server->trialDue(Now))
-      Cost += inSeconds(Server->ejectedUntil() - Now) * 1000;
-    Cost *= 1 + Jitter * Rng.uniform01();
     // An ejected backend server that is due for a trial competes like the
     // others: if it still fails, its request is hedged.
     bool IsAvoided = Ejected && !Server->trialDue(Now);
-    if (!Best || std::make_pair(IsAvoided, Cost) <
-                     std::make_pair(BestIsAvoided, BestCost)) {
-      Best = Server;
-      BestCost = Cost;
-      BestIsAvoided = IsAvoided;
-    }
+    if (IsAvoided)
+      Cost += inSeconds(Server->ejectedUntil() - Now) * 1000;
+    Candidates.push_back({&Server, IsAvoided, Cost});
+    Best = std::min(Best, std::make_pair(IsAvoided, Cost));
+  }
+  // Of those that are about equally good the one of the own zone that this host
+  // has used least recently.
+  const BackendServerPtr *Chosen = nullptr;
+  auto ChosenRank = std::make_tuple(true, MonotonicTime::max(), 0.0);
+  for (const Candidate &Each : Candidates) {
+    if (Each.IsAvoided != Best.first || Each.Cost > Best.second * EqualCost)
+      continue;
+    auto Rank = std::make_tuple((*Each.Server)->entry().Zone != OwnZone,
+                                (*Each.Server)->lastSentAt(), Rng.uniform01());
+    if (Chosen && Rank >= ChosenRank)
+      continue;
+    Chosen = Each.Server;
+    ChosenRank = Rank;
   }
-  return Best;
+  return Chosen ? *Chosen : nullptr;
 }
 
 ServiceState ServerRegistry::state(const ServiceId &Service,
--- a/balance/server_registry.h
+++ b/balance/server_registry.h
@@ -182,6 +182,13 @@
   BackendServerPtr
   chooseAmong(const ServiceId &Service, const ServerCriteria &Criteria,
               const Predicate &IsEligible, MonotonicTime Now) const;
+  /// A backend server that could take a request in choose().
+  struct Candidate {
+    const BackendServerPtr *Server;
+    bool IsAvoided;
+    double Cost;
+  };
+
   const Limits &limitsOf(const ServiceId &Service) const;
   /// Whether \p Server may get one more request from this host now.
   bool belowLimits(const BackendServer &Server, MonotonicTime Now) const;
@@ -196,6 +203,8 @@
   /// Removes \p Server from the list of its service, and remembers it.
   void removeFromService(const BackendServerPtr &Server);
 
+  /// Used within choose() only; kept to save an allocation for each request.
+  mutable std::vector<Candidate> Candidates;
   AvailabilityZoneId OwnZone;
   Random &Rng;
   const ServerFilters *Filters = nullptr;
