Let the limit on queries rise faster after congestion

Cause: with servers used in turn, queries were refused more than 3 s after a burst, and StatedLimitTest.HostsKeepALimitThatAnotherHostKnowsToBeLifted failed (273 of 280 complete). The usual progress had been taken from a few fast queries, so that a host did not see that the congestion was over.

Change: progress below 0.55 of the useful time counts as recovered; the limit then doubles. Faster queries weigh more in the average.

Result: model_test 16 of 16.

--- a/gather/query_admission.cpp
+++ b/gather/query_admission.cpp
@@ -17,6 +17,9 @@
 /// Weight of a query in the average of progress: two queries with bad progress
 /// start a limit, a single one does not.
 constexpr double ProgressWeight = 0.3;
+/// Weight of a query that is faster than the average: a host with a low limit
+/// begins few queries, and soon has to find out that the congestion is over.
+constexpr double RecoveryWeight = 0.45;
 /// Limit on the share of the useful time until most shards are answered: the
 /// last shards that a query needs take somewhat longer.
 constexpr double HighProgress = 0.75;
@@ -36,9 +39,11 @@
 constexpr double LimitIncrease = 0.05;
 constexpr double FastIncrease = 0.15;
 constexpr double FastIncreaseShare = 0.95;
-/// The increase once the progress is below this many times the usual one.
+/// The increase once the progress is below this many times the usual one, or
+/// below this share of the useful time.
 constexpr double RecoveredRatio = 1.2;
-constexpr double RecoveredIncrease = 0.5;
+constexpr double RecoveredProgress = 0.55;
+constexpr double RecoveredIncrease = 1;
 /// A limit this much above the offered rate is dropped.
 constexpr double UnneededRatio = 1.5;
 /// Least limit, in queries per second and as a share of the offered rate: some
@@ -147,7 +152,8 @@
                       ? MaxProgress
                       : std::min(MaxProgress,
                                  inSeconds(Time) / inSeconds(Offer.UsefulTime));
-  R.Average += ProgressWeight * (Sample - R.Average);
+  R.Average += (Sample < R.Average ? RecoveryWeight : ProgressWeight) *
+               (Sample - R.Average);
   // During congestion the progress is not the usual one, unless the limit has
   // no effect on it.
   if (!G.Limit || *G.Limit <= leastLimit(G, Now))
@@ -165,10 +171,11 @@
         std::max(leastLimit(G, Now),
                  LimitDecrease * std::min(Begun, G.Limit.value_or(Begun)));
   } else if (G.Limit) {
-    double Increase = R.Average < RecoveredRatio * R.Usual ? RecoveredIncrease
-                      : R.Average < FastIncreaseShare * HighProgress
-                          ? FastIncrease
-                          : LimitIncrease;
+    double Increase =
+        R.Average < std::max(RecoveredRatio * R.Usual, RecoveredProgress)
+            ? RecoveredIncrease
+        : R.Average < FastIncreaseShare * HighProgress ? FastIncrease
+                                                       : LimitIncrease;
     *G.Limit *= 1 + Increase;
     if (*G.Limit > UnneededRatio * G.Offered->perSecond(Now))
       G.Limit.reset();
