Test the limit after declined requests, turns and repeated calls

The comment on calls that all backend servers have declined says what happens: they are sent once more to each, without a wait.

--- a/balance/call_scheduler.cpp
+++ b/balance/call_scheduler.cpp
@@ -303,8 +303,8 @@
       return retry(It, Server, Now);
     if (Registry.hasUntriedServer(Request.Service, Call.TriedServers, Now))
       return enqueue(It, Now);
-    // A declined request has not run: it may be sent again to a backend server
-    // that declined it, once that one accepts requests again.
+    // A declined request has not run: it may be sent once more to each backend
+    // server that declined it, as far as their limits and the budget allow.
     if (Call.LastReason == CallReason::Shed && !Call.TriedAgain) {
       Call.TriedAgain = true;
       Call.TriedServers.clear();
--- a/balance/call_scheduler_test.cpp
+++ b/balance/call_scheduler_test.cpp
@@ -286,6 +286,23 @@
             0.2 * static_cast<double>(Calls.counters().Calls) + 50.0 / 4);
 }
 
+// Guards against a call that ends because each backend server has declined it
+// once, although it has not run and they accept requests a moment later.
+TEST_F(CallSchedulerTest, CallThatAllHaveDeclinedIsSentAgain) {
+  addServer("a");
+  addServer("b");
+  for (const char *Name : {"a", "b"})
+    Backends.Servers[Name].ShedsRequests = true;
+  begin(request());
+  Backends.advance(Calls, Start + Milliseconds(2));
+  EXPECT_TRUE(Recorder.Results.empty());
+  for (const char *Name : {"a", "b"})
+    Backends.Servers[Name].ShedsRequests = false;
+  Backends.advance(Calls, Start + Seconds(1));
+  ASSERT_EQ(Recorder.Results.size(), 1u);
+  EXPECT_EQ(Recorder.Results[0].Outcome, CallOutcome::Answered);
+}
+
 // Guards against calls that are refused only after a long wait in the queue,
 // which makes the other shard results of their queries useless. All backend
 // servers of a shard become seven times slower at an unchanged rate of calls,
--- a/balance/server_registry_test.cpp
+++ b/balance/server_registry_test.cpp
@@ -4,6 +4,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <map>
+
 namespace mimosa {
 namespace {
 
@@ -56,6 +58,52 @@
   }
 }
 
+// Guards against a backend server that gets as many requests while it declines
+// them, and against one that gets few for good after that.
+TEST_F(ServerRegistryTest, DeclinedRequestsLowerTheLimitForAWhile) {
+  Registry.update(entry("a", 1), Start);
+  BackendServerPtr Server = choose();
+  const uint32_t Usual = Registry.inFlightLimit(*Server, Start);
+  ASSERT_GT(Usual, 2u);
+  MonotonicTime Now = Start;
+  for (int I = 0; I < 20; ++I) {
+    Now += Milliseconds(10);
+    // The second request was sent before the limit fell.
+    Registry.recordDecline(*Server, Now, Milliseconds(20), Now);
+    Registry.recordDecline(*Server, Now - Milliseconds(1), Milliseconds(20),
+                           Now);
+    EXPECT_GE(Registry.inFlightLimit(*Server, Now), I == 0 ? Usual / 2 : 1);
+  }
+  EXPECT_EQ(Registry.inFlightLimit(*Server, Now), 1u);
+  // It is paused for a part of a latency, and then used again.
+  EXPECT_EQ(choose(Now), nullptr);
+  EXPECT_NE(choose(Registry.nextReleaseAt(Shard, Now)), nullptr);
+  EXPECT_LE(Registry.nextReleaseAt(Shard, Now), Now + Milliseconds(20));
+  for (uint32_t I = 0; I < Usual * Usual; ++I)
+    Server->recordLatency(1, Now);
+  EXPECT_EQ(Registry.inFlightLimit(*Server, Now), Usual);
+}
+
+// Guards against requests that all go to the backend server with the least
+// average while others are as good.
+TEST_F(ServerRegistryTest, EqualBackendServersAreUsedInTurn) {
+  std::map<std::string, int> Uses;
+  for (const char *Id : {"a", "b", "c"})
+    Registry.update(entry(Id, 1), Start);
+  // The averages of "a" and "b" differ by less than their scatter.
+  Registry.find(BackendServerId("a"))->recordLatency(0.8, Start);
+  Registry.find(BackendServerId("c"))->recordLatency(4, Start);
+  for (int I = 0; I < 100; ++I) {
+    MonotonicTime Now = Start + Milliseconds(I);
+    BackendServerPtr Server = choose(Now);
+    Registry.recordSend(*Server, Now);
+    Server->recordEnd(Now);
+    ++Uses[Server->entry().Id.text()];
+  }
+  EXPECT_EQ(Uses["a"], 50);
+  EXPECT_EQ(Uses["b"], 50);
+}
+
 // Guards against traffic between zones while backend servers of this host's
 // zone are equally good.
 TEST_F(ServerRegistryTest, PrefersTheOwnZone) {
