Do not take short timeouts of callers for congestion

Cause: the progress of a query was measured against the caller's own timeout, so that callers with short ones could lower the limit for all teams.

Change: it is measured against the route's target, and queries with less time are not recorded.

--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -444,7 +444,11 @@
   if (Context.CallerTeam)
     Out.Team = Context.CallerTeam->Id;
   Out.Priority = Context.Priority;
-  Out.UsefulTime = Context.Times.PartialFrom - Context.ArrivedAt;
+  // A caller with a short timeout must not make its queries look congested.
+  Out.UsefulTime =
+      gatherTimes(Context.MatchedRoute, Context.ArrivedAt, MonotonicTime::max())
+          .PartialFrom -
+      Context.ArrivedAt;
   return Out;
 }
 
@@ -517,6 +521,11 @@
       offerOf(Context),
       Query.mostAnsweredAt().value_or(Now) - Context.ArrivedAt,
       Decision == GatherDecision::Fail && Query.overloaded(), Now);
+  QueryOffer Offer = offerOf(Context);
+  if (Context.Times.PartialFrom - Context.ArrivedAt >= Offer.UsefulTime)
+    Admission.recordProgress(
+        Offer, Query.mostAnsweredAt().value_or(Now) - Context.ArrivedAt,
+        Decision == GatherDecision::Fail && Query.overloaded(), Now);
   std::string Detail = "shards=" + std::to_string(Query.totalShards()) +
                        " missing=" + std::to_string(Query.missingShards()) +
                        " reason=" + callReasonName(Query.lastReason()) +
