--- a/gather/query_admission_test.cpp
+++ b/gather/query_admission_test.cpp
@@ -42,7 +42,8 @@
     for (MonotonicTime End = Now + Length; Now < End; Now += Step) {
       Backlog = std::max(0.0, Backlog - Capacity * inSeconds(Step));
       while (!Ends.empty() && Ends.front().first <= Now) {
-        Admission.recordProgress(Ends.front().second, Time(), false, Now);
+        Admission.recordProgress(Ends.front().second, progressTime(), false,
+                                 Now);
         Ends.pop_front();
       }
       for (Source &Each : Sources) {
@@ -58,7 +59,7 @@
       }
     }
   }
-  Duration Time() const { return Backlog > 2 ? SlowTime : UsualTime; }
+  Duration progressTime() const { return Backlog > 2 ? SlowTime : UsualTime; }
 
   QueryAdmission Admission;
   MonotonicTime Now = Start;
