Remove a bound that nothing uses any more

Cause: each connected host may take one token, whatever the margin. Change: the bound and its constant are removed; a call is adapted to the way of the caller. Result: all targets build.

--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -445,10 +445,10 @@
     Out.Team = Context.CallerTeam->Id;
   Out.Priority = Context.Priority;
   // A caller with a short timeout must not make its queries look congested.
-  Out.UsefulTime =
-      gatherTimes(Context.MatchedRoute, Context.ArrivedAt, MonotonicTime::max())
-          .PartialFrom -
-      Context.ArrivedAt;
+  Out.UsefulTime = gatherTimes(Context.MatchedRoute, Context.ArrivedAt,
+                               MonotonicTime::max(), {})
+                       .PartialFrom -
+                   Context.ArrivedAt;
   return Out;
 }
 
--- a/shared_limit/shared_limits.cpp
+++ b/shared_limit/shared_limits.cpp
@@ -22,9 +22,6 @@
 /// Hosts that lose another one notice it at slightly different times. A group
 /// changes when their reports have differed for this long, three rounds.
 constexpr Duration UnfitTime = Milliseconds(600);
-/// Requests wait for up to this long between admission and arrival at a backend
-/// server, so that arrivals can be closer together than admissions.
-constexpr Duration AdmissionToArrival = Milliseconds(300);
 /// Tokens are promised to refused callers for at most this long in advance.
 constexpr Duration LongestPromise = Seconds(5);
 /// More hosts and limits than any deployment has; reports of others are
@@ -57,12 +54,6 @@
   return std::max({B.Burst, margin(B) * BurstPartOfMargin, 1.0});
 }
 
-double SharedLimits::overshoot(const Bucket &B) const {
-  double Left = margin(B) - (capacity(B) - B.Burst) -
-                B.Rate * inSeconds(AdmissionToArrival);
-  return std::max(Left, 1.0);
-}
-
 double SharedLimits::shareOf(const Peer &P) const {
   double Own = equalShare();
   return P.SharingHosts > 0 ? std::max(1.0 / P.SharingHosts, Own) : Own;
--- a/shared_limit/shared_limits.h
+++ b/shared_limit/shared_limits.h
@@ -263,8 +263,6 @@
   /// How many unacknowledged tokens this host may have taken.
   double ownPart(const Bucket &B) const;
   int64_t unacknowledged(const Bucket &B) const;
-  /// Tokens that hosts may take at the same moment beyond the level.
-  double overshoot(const Bucket &B) const;
   /// Hosts that share the limits, and those that are connected; with this one.
   size_t memberCount() const { return 1 + Members; }
   size_t connectedCount() const { return 1 + Connections; }
