--- a/entry/entry_node.h
+++ b/entry/entry_node.h
@@ -73,12 +73,13 @@
   void hostsChanged(std::vector<EntryHost> Hosts) override;
   std::optional<MonotonicTime> registerAt() override;
   void rolloutOrderChanged(const ServiceId &ServiceName,
-                           std::optional<RolloutOrder> Order) override {
-    Rollouts.orderChanged(ServiceName, std::move(Order));
+                           const std::optional<RolloutOrder> &Order) override {
+    Rollouts.orderChanged(ServiceName, Order);
   }
-  void rolloutStatusChanged(const ServiceId &ServiceName,
-                            std::optional<RolloutStatus> Status) override {
-    Rollouts.statusChanged(ServiceName, std::move(Status));
+  void
+  rolloutStatusChanged(const ServiceId &ServiceName,
+                       const std::optional<RolloutStatus> &Status) override {
+    Rollouts.statusChanged(ServiceName, Status);
   }
   void storeReachabilityChanged(bool Reachable,
                                 const std::string &Reason) override;
