Do not wait for backend servers that have asked for a pause

Cause: a call that all backend servers have declined is sent to each once more. If they had asked for a pause, it waited for the end of it, up to its deadline, in place of a refusal at once. Change: it is sent again only if one of them accepts a request now.

--- a/balance/call_scheduler.cpp
+++ b/balance/call_scheduler.cpp
@@ -308,7 +308,9 @@
     if (Call.LastReason == CallReason::Shed && !Call.TriedAgain) {
       Call.TriedAgain = true;
       Call.TriedServers.clear();
-      if (Registry.hasUntriedServer(Request.Service, Call.TriedServers, Now))
+      // Not if they have asked for a pause: the caller can return later.
+      if (Registry.earliestSendAt(Request.Service, {}, Now) <= Now &&
+          Registry.hasUntriedServer(Request.Service, Call.TriedServers, Now))
         return enqueue(It, Now);
     }
   }
