End the processes of a case when its time limit is reached

Cause: timeout ended only the program of the case, which left its hosts.

Change: the program of a case handles SIGTERM as an interrupt.

--- a/review/standins/client.py
+++ b/review/standins/client.py
@@ -6,6 +6,7 @@
 import os
 import random
 import secrets
+import signal
 import sys
 import time
 import traceback
@@ -77,9 +78,11 @@
     """Ends the process with 1 if play() finds the rule broken, 0 if it held, 2 if it failed."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # Ends the processes of the case before this one, also after its time limit.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         record = Record(os.path.join(folder, "record.txt"))
         sys.exit(1 if asyncio.run(play(trouble, record)) else 0)
-    except Exception:  # noqa: BLE001  Whatever it is, the case could not run.
+    except (Exception, KeyboardInterrupt):  # noqa: BLE001  Whatever it is, the case could not run.
         traceback.print_exc()
         sys.exit(2)
