Look up the list of idle connections again after closing one

Cause: closeIdleAtLimit kept a reference to a list that is removed with the last connection of its backend server.

Change: the list is looked up after each closed connection.

Result: BackendConnectionPoolTest.OnlyConnectionIsReplaced. On the code before, with the address sanitizer: heap-use-after-free in closeIdleAtLimit (1 of 1). Without the sanitizer the test passes on both.

--- a/entry/backend_connection_pool.cpp
+++ b/entry/backend_connection_pool.cpp
@@ -45,10 +45,14 @@
 }
 
 void BackendConnectionPool::closeIdleAtLimit(const BackendServerPtr &Server) {
-  ChannelList &Channels = IdleChannels[Server.get()];
-  while (!Channels.empty() &&
-         ConnectionCounts[Server.get()] >= Registry.connectionLimit(*Server))
-    closeIdle(Channels.front());
+  uint32_t Limit = Registry.connectionLimit(*Server);
+  while (ConnectionCounts[Server.get()] >= Limit) {
+    // Closing the last connection of a backend server removes its list.
+    auto Idle = IdleChannels.find(Server.get());
+    if (Idle == IdleChannels.end() || Idle->second.empty())
+      return;
+    closeIdle(Idle->second.front());
+  }
 }
 
 HttpChannel *
--- a/entry/backend_connection_pool_test.cpp
+++ b/entry/backend_connection_pool_test.cpp
@@ -50,7 +50,8 @@
 /// Services of two backend servers each, of which one is bad.
 class HostileLoad {
 public:
-  HostileLoad(FiberLoop &Loop, int Services, const HostileServer::Script &Bad)
+  HostileLoad(FiberLoop &Loop, int Services, const HostileServer::Script &Bad,
+              const HostileServer::Script &Good = answerWell)
       : Loop(Loop), Rng(7), Registry(AvailabilityZoneId("z1"), Rng),
         Pool(Loop, Registry, Budget), Scheduler(Registry, Pool) {
     Pool.setScheduler(Scheduler);
@@ -61,7 +62,7 @@
     for (int I = 0; I < Services; ++I) {
       ServiceIds.push_back(ServiceId("s" + std::to_string(I)));
       Registry.setLimits(ServiceIds.back(), 64, 0);
-      addServer(ServiceIds.back(), "good", HostileServer(answerWell));
+      addServer(ServiceIds.back(), "good", HostileServer(Good));
       addServer(ServiceIds.back(), "bad", HostileServer(Bad));
     }
   }
@@ -69,8 +70,38 @@
   /// Limit on the body of an answer.
   size_t MaxAnswerBytes = 64 * 1024;
 
+  /// Whether the requests may run more than once.
+  bool Idempotent = true;
+
   BackendConnectionPool &pool() { return Pool; }
 
+  /// Sets the connections that each service accepts.
+  void setMaxConnections(uint32_t Count) {
+    for (const ServiceId &Service : ServiceIds)
+      Registry.setLimits(Service, Count, 0);
+  }
+
+  /// Runs one request with the id \p Id to its end.
+  CallResult call(const ServiceId &Service, const std::string &Id) {
+    auto Message = std::make_shared<CallerRequest>();
+    Message->Id = CallerRequestId(Id);
+    Message->Head = "GET /q HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + Id + "\r\n";
+    CallRequest Request;
+    Request.Service = Service;
+    Request.Route = RouteId("search");
+    Request.Idempotent = Idempotent;
+    Request.MaxAttempts = 2;
+    Request.TargetLatency = Milliseconds(150);
+    Request.Deadline = Loop.now() + Deadline;
+    Request.UsefulUntil = Request.Deadline;
+    Request.MaxAnswerBytes = MaxAnswerBytes;
+    Request.Message = Message;
+    CallWaiter Waiter;
+    Scheduler.begin(std::move(Request), Waiter, Loop.now());
+    Waiter.Ended.wait();
+    return std::move(*Waiter.Result);
+  }
+
   LoadFigures run() {
     rusage Before{};
     getrusage(RUSAGE_THREAD, &Before);
@@ -120,32 +151,17 @@
   }
 
   void runCall(int Worker, int Index) {
-    auto Message = std::make_shared<CallerRequest>();
     std::string Id = std::to_string(Worker) + "-" + std::to_string(Index);
-    Message->Id = CallerRequestId(Id);
-    Message->Head = "GET /q HTTP/1.1\r\nHost: h\r\nAttempt-Id: " + Id + "\r\n";
-    CallRequest Request;
-    Request.Service =
-        ServiceIds[static_cast<size_t>(Worker + Index) % ServiceIds.size()];
-    Request.Route = RouteId("search");
-    Request.Idempotent = true;
-    Request.MaxAttempts = 2;
-    Request.TargetLatency = Milliseconds(150);
-    Request.Deadline = Loop.now() + Deadline;
-    Request.UsefulUntil = Request.Deadline;
-    Request.MaxAnswerBytes = MaxAnswerBytes;
-    Request.Message = Message;
     MonotonicTime Begin = Loop.now();
-    CallWaiter Waiter;
-    Scheduler.begin(std::move(Request), Waiter, Begin);
-    Waiter.Ended.wait();
+    CallResult Result = call(
+        ServiceIds[static_cast<size_t>(Worker + Index) % ServiceIds.size()],
+        Id);
     Figures.LongestWait =
         std::max<Duration>(Figures.LongestWait, Loop.now() - Begin);
-    if (Waiter.Result->Outcome != CallOutcome::Answered ||
-        !Waiter.Result->Answer.success())
+    if (Result.Outcome != CallOutcome::Answered || !Result.Answer.success())
       return;
     ++Figures.Served;
-    Figures.Wrong += Waiter.Result->Answer.Body == answerBodyFor(Id) ? 0 : 1;
+    Figures.Wrong += Result.Answer.Body == answerBodyFor(Id) ? 0 : 1;
   }
 
   FiberLoop &Loop;
@@ -290,6 +306,26 @@
     });
 }
 
+// Guards against the use of a list of idle connections after it was freed, when
+// the only connection that a host may have is replaced by a new one. Fails with
+// the address sanitizer only.
+TEST(BackendConnectionPoolTest, OnlyConnectionIsReplaced) {
+  runInChildProcess([](FiberLoop &Loop) {
+    HostileLoad Load(Loop, 1, answerWell);
+    Load.setMaxConnections(1);
+    Load.Idempotent = false;
+    for (int I = 0; I < 4; ++I) {
+      std::string Id = std::to_string(I);
+      CallResult Result = Load.call(ServiceId("s0"), Id);
+      EXPECT_EQ(Result.Answer.Body, answerBodyFor(Id));
+      // Then a request that must not run twice gets a new connection.
+      FiberLoop::sleepFor(Milliseconds(500));
+    }
+    EXPECT_LE(Load.pool().openConnections(), 2u);
+    EXPECT_EQ(Load.pool().counters().ClosedIdle, 2u);
+  });
+}
+
 // Answers of single backend servers may be long, so that only the budget of the
 // process bounds their memory.
 TEST(BackendConnectionPoolTest, ManyEndlessBodiesStayWithinTheBudget) {
