Send a request again only on a connection that has not carried it

Cause: after a decline, a request was sent to the same backend server again, with the same id and mostly on the same connection. A late copy of the decline was taken for the second answer.

Change: a connection keeps hashes of the ids that it has carried, and is replaced after 1,024 requests. A request is sent on a connection that has not carried its id, so the id tells its answer from all others there.

--- a/entry/backend_connection_pool.cpp
+++ b/entry/backend_connection_pool.cpp
@@ -1,5 +1,6 @@
 #include "entry/backend_connection_pool.h"
 
+#include "base/rendezvous.h"
 #include "platform/caller_wire.h"
 #include "runtime/log.h"
 
@@ -18,6 +19,15 @@
 /// idle for at most this time. After the loss of a connection it is not known
 /// whether the request ran, so it could not be sent again.
 constexpr Duration MaxFreshIdleTime = Milliseconds(400);
+/// Requests after which a connection is replaced. Bounds the memory for their
+/// ids.
+constexpr size_t MaxExchanges = 1024;
+
+/// Requests with equal hashes are kept off one connection like those with equal
+/// ids, so a collision has no consequence.
+uint32_t hashOf(const CallerRequestId &Id) {
+  return static_cast<uint32_t>(hash64(Id.text()));
+}
 
 } // namespace
 
@@ -30,18 +40,26 @@
 }
 
 HttpChannel *BackendConnectionPool::takeIdle(const BackendServerPtr &Server,
+                                             const CallerRequestId &Id,
                                              bool FreshOnly) {
   auto Found = IdleChannels.find(Server.get());
-  if (Found == IdleChannels.end() || Found->second.empty())
+  if (Found == IdleChannels.end())
     return nullptr;
   MonotonicTime Now = Loop.now();
-  HttpChannel *Channel = Found->second.back();
-  const Connection &C = Connections.at(Channel);
-  if (expired(C, Now) || (FreshOnly && Now - C.IdleSince > MaxFreshIdleTime))
-    return nullptr;
-  Found->second.pop_back();
-  ++Counters.Reused;
-  return Channel;
+  ChannelList &Idle = Found->second;
+  for (auto It = Idle.rbegin(); It != Idle.rend(); ++It) {
+    HttpChannel *Channel = *It;
+    const Connection &C = Connections.at(Channel);
+    if (expired(C, Now) || (FreshOnly && Now - C.IdleSince > MaxFreshIdleTime))
+      return nullptr;
+    if (std::find(C.CarriedIds.begin(), C.CarriedIds.end(), hashOf(Id)) !=
+        C.CarriedIds.end())
+      continue;
+    Idle.erase(std::next(It).base());
+    ++Counters.Reused;
+    return Channel;
+  }
+  return nullptr;
 }
 
 void BackendConnectionPool::closeIdleAtLimit(const BackendServerPtr &Server) {
@@ -79,7 +97,8 @@
   // The answer to a request without an id can only be the first one on its
   // connection.
   bool HasId = !Request.Message->Id.empty();
-  HttpChannel *Channel = HasId ? takeIdle(Server, FreshConnection) : nullptr;
+  HttpChannel *Channel =
+      HasId ? takeIdle(Server, Request.Message->Id, FreshConnection) : nullptr;
   if (!Channel)
     Channel = openConnection(Server);
   if (!Channel) {
@@ -91,7 +110,7 @@
   C.Attempt = Id;
   C.RequestId = Request.Message->Id;
   C.Busy = true;
-  ++C.Exchanges;
+  C.CarriedIds.push_back(hashOf(C.RequestId));
   ActiveChannels[Id] = Channel;
   Channel->exchange([this, Message = Request.Message,
                      Deadline = Request.Deadline,
@@ -168,7 +187,7 @@
   DecodedBackendAnswer Decoded =
       decodeBackendAnswer(std::move(Response), C.RequestId);
   using IdState = DecodedBackendAnswer::IdState;
-  bool Untrusted = Decoded.Id == IdState::Missing && C.Exchanges > 1;
+  bool Untrusted = Decoded.Id == IdState::Missing && C.CarriedIds.size() > 1;
   if (Untrusted && !Decoded.Answer.success()) {
     loseUntrusted(Channel);
     return true;
@@ -197,7 +216,7 @@
     ++Counters.AnswersWithoutId;
     Reusable = false;
   }
-  if (Reusable && KeepIdle) {
+  if (Reusable && KeepIdle && C.CarriedIds.size() < MaxExchanges) {
     C.Busy = false;
     C.IdleSince = Loop.now();
     if (Decoded.KeepAliveTimeout > Duration(0))
--- a/entry/backend_connection_pool.h
+++ b/entry/backend_connection_pool.h
@@ -9,10 +9,12 @@
 //
 // A backend server in trouble may send a second copy of an answer late, when
 // the connection is in use again. The id that it echoes tells the copy from the
-// answer. Without an id, only the first answer on a connection can be trusted,
-// and the connection is not used again after it. On a connection that was used
-// before, a success without an id is dropped as a copy; after a failure without
-// one, the connection is closed, since no answer may follow it.
+// answer, as long as no two requests on a connection have the same id: one that
+// was declined and is sent again gets another connection. Without an id, only
+// the first answer on a connection can be trusted, and the connection is not
+// used again after it. On a connection that was used before, a success without
+// an id is dropped as a copy; after a failure without one, the connection is
+// closed, since no answer may follow it.
 
 #ifndef MIMOSA_ENTRY_BACKEND_CONNECTION_POOL_H
 #define MIMOSA_ENTRY_BACKEND_CONNECTION_POOL_H
@@ -77,7 +79,8 @@
     BackendServerPtr Server;
     AttemptId Attempt;
     CallerRequestId RequestId;
-    uint64_t Exchanges = 0;
+    /// Hashes of the ids of all requests that it has carried.
+    std::vector<uint32_t> CarriedIds;
     bool Busy = false;
     MonotonicTime IdleSince;
     Duration KeepAliveTimeout{0};
@@ -95,7 +98,10 @@
          MonotonicTime Deadline, const BackendServer &Server);
   /// Ends the attempt on a connection whose answer cannot be trusted.
   void loseUntrusted(HttpChannel &Channel);
-  HttpChannel *takeIdle(const BackendServerPtr &Server, bool FreshOnly);
+  /// An idle connection that can carry the request \p Id; null if there is
+  /// none.
+  HttpChannel *takeIdle(const BackendServerPtr &Server,
+                        const CallerRequestId &Id, bool FreshOnly);
   HttpChannel *openConnection(const BackendServerPtr &Server);
   /// Closes idle connections until one more fits within the connection limit.
   void closeIdleAtLimit(const BackendServerPtr &Server);
--- a/entry/backend_connection_pool_test.cpp
+++ b/entry/backend_connection_pool_test.cpp
@@ -12,7 +12,10 @@
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <map>
+#include <mutex>
 #include <optional>
+#include <set>
 
 namespace mimosa {
 namespace {
@@ -326,6 +329,98 @@
   });
 }
 
+/// Two backend servers that decline each request once and then run it. With
+/// each answer they send a late copy of the one before on the same connection.
+class DecliningServers {
+public:
+  HostileServer::Script script(const std::string &Name) {
+    return [this, Name](const HostileExchange &Exchange) {
+      std::string LateCopy;
+      std::string Answer;
+      {
+        std::lock_guard<std::mutex> Lock(Mutex);
+        if (!Exchange.PreviousId.empty())
+          LateCopy = LastAnswers[Exchange.Socket];
+        bool IsFirst = Declined.insert(Name + "/" + Exchange.Id).second;
+        if (!IsFirst)
+          ++Runs[Exchange.Id];
+        Answer = IsFirst ? declineOf(Exchange.Id) : answerTo(Exchange.Id);
+        LastAnswers[Exchange.Socket] = Answer;
+      }
+      return writeBytes(Exchange, LateCopy) && writeBytes(Exchange, Answer);
+    };
+  }
+
+  int runs(const std::string &Id) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    return Runs[Id];
+  }
+  int mostRuns() {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    int Most = 0;
+    for (const auto &[Id, Count] : Runs)
+      Most = std::max(Most, Count);
+    return Most;
+  }
+
+private:
+  static std::string declineOf(const std::string &Id) {
+    return "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nAttempt-Id: " + Id +
+           "\r\nContent-Length: 0\r\n\r\n";
+  }
+
+  std::mutex Mutex;
+  /// By server and id.
+  std::set<std::string> Declined;
+  std::map<std::string, int> Runs;
+  /// By socket.
+  std::map<int, std::string> LastAnswers;
+};
+
+// Guards against a refusal or a second run of a request that has run: after a
+// backend server had declined a request, it was sent there again on the same
+// connection, and a late copy of the decline, which carries the same id, was
+// taken for the second answer.
+TEST(BackendConnectionPoolTest, LateCopiesOfDeclinesAreNoAnswers) {
+  static constexpr int Calls = 20;
+  for (uint32_t MaxConnections : {1U, 64U}) {
+    SCOPED_TRACE(MaxConnections);
+    runInChildProcess([MaxConnections](FiberLoop &Loop) {
+      DecliningServers Servers;
+      HostileLoad Load(Loop, 1, Servers.script("a"), Servers.script("b"));
+      Load.setMaxConnections(MaxConnections);
+      Load.Idempotent = false;
+      int Served = 0;
+      for (int I = 0; I < Calls; ++I) {
+        std::string Id = std::to_string(I);
+        CallResult Result = Load.call(ServiceId("s0"), Id);
+        if (Result.Outcome == CallOutcome::NotRun) {
+          EXPECT_EQ(Servers.runs(Id), 0) << Id;
+        }
+        if (Result.Outcome != CallOutcome::Answered)
+          continue;
+        ++Served;
+        EXPECT_EQ(Result.Answer.Body, answerBodyFor(Id));
+      }
+      EXPECT_EQ(Served, Calls);
+      EXPECT_EQ(Servers.mostRuns(), 1);
+    });
+  }
+}
+
+// Guards against memory for ids that grows as long as a connection is used.
+TEST(BackendConnectionPoolTest, ConnectionsAreReplacedAfterManyRequests) {
+  runInChildProcess([](FiberLoop &Loop) {
+    constexpr int Calls = 4000;
+    HostileLoad Load(Loop, 1, answerWell);
+    for (int I = 0; I < Calls; ++I)
+      Load.call(ServiceId("s0"), std::to_string(I));
+    // Each connection carries at most 1,024 requests.
+    EXPECT_GE(Load.pool().counters().Opened, 4u);
+    EXPECT_LE(Load.pool().counters().Opened, 10u);
+  });
+}
+
 // Answers of single backend servers may be long, so that only the budget of the
 // process bounds their memory.
 TEST(BackendConnectionPoolTest, ManyEndlessBodiesStayWithinTheBudget) {
