Send queued calls when one arrives and a backend server is free

Cause: queued calls are sent when an attempt ends, or by a timer for the end of a pause. A call that joined the queue between the end of the pause and the run of the timer deleted the timer. Nothing sent the queue from then on.

Change: a call that arrives first sends the queue, if a backend server can take a request. So no order of timers and arrivals leaves calls behind. The metric mimosa_calls_waiting shows a queue that is not sent.

--- a/balance/call_queue.cpp
+++ b/balance/call_queue.cpp
@@ -241,10 +241,13 @@
 
 size_t CallScheduler::waitingCalls(const ServiceId &Service) const {
   auto Found = Queues.find(Service);
+  return Found == Queues.end() ? 0 : Found->second.size();
+}
+
+size_t CallScheduler::waitingCalls() const {
   size_t Count = 0;
-  if (Found != Queues.end())
-    for (const auto &[Priority, Waiting] : Found->second.Waiting)
-      Count += Waiting.size();
+  for (const auto &[Service, Queue] : Queues)
+    Count += Queue.size();
   return Count;
 }
 
--- a/balance/call_scheduler.cpp
+++ b/balance/call_scheduler.cpp
@@ -62,6 +62,11 @@
 CallId CallScheduler::begin(CallRequest Request, CallObserver &Observer,
                             MonotonicTime Now) {
   ++Counters.Calls;
+  // A backend server may have become free without an event, for example because
+  // a pause has ended and the timer has not run yet.
+  if (!queue(Request.Service).Waiting.empty() &&
+      Registry.state(Request.Service, Now) == ServiceState::Available)
+    sendWaiting(Request.Service, Now);
   LastCall = LastCall.next();
   CallId Id = LastCall;
   queue(Request.Service).Budget.recordRequest(Now);
--- a/balance/call_scheduler.h
+++ b/balance/call_scheduler.h
@@ -182,8 +182,9 @@
   const ServerRegistry &registry() const { return Registry; }
   void setRetryBudget(RetryBudgetOptions Options) { BudgetOptions = Options; }
   const CallCounters &counters() const { return Counters; }
-  /// Number of queued calls.
+  /// Number of queued calls of one service and of all.
   size_t waitingCalls(const ServiceId &Service) const;
+  size_t waitingCalls() const;
   size_t attemptsInFlight() const { return Attempts.size(); }
 
 private:
@@ -237,6 +238,12 @@
     RetryBudget Budget;
     /// When a backend server ceases to be held back, if calls wait for it.
     MonotonicTime WakeUpAt = MonotonicTime::max();
+    size_t size() const {
+      size_t Count = 0;
+      for (const auto &[Priority, Calls] : Waiting)
+        Count += Calls.size();
+      return Count;
+    }
   };
   using CallMap = std::unordered_map<CallId, CallState>;
   using AttemptMap = std::unordered_map<AttemptId, AttemptState>;
--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -194,6 +194,8 @@
   Gauge("mimosa_backend_servers_paused",
         [](Node &N) { return N.Registry.pausedServers(N.Loop.now()); });
   Gauge("mimosa_sharing_hosts", [](Node &N) { return N.Registry.hostCount(); });
+  Gauge("mimosa_calls_waiting",
+        [](Node &N) { return N.Scheduler.waitingCalls(); });
   Gauge("mimosa_requests_in_flight",
         [](Node &N) { return N.Service.inFlight(); });
   Gauge("mimosa_store_failures_total",
