Wake the queue when a cold backend server may get the next request

Calls for a service whose only usable backend servers were cold waited until they were refused, although the next second had begun.

A cold backend server gets a limited number of requests in a second. Once they had ended, no event and no timer sent the queue.

Change: the time of the next request to a cold backend server is computed, and counts like the end of a pause.

--- a/balance/backend_server.cpp
+++ b/balance/backend_server.cpp
@@ -91,10 +91,15 @@
   ColdSends.push_back(Now);
 }
 
-uint32_t BackendServer::coldSendsInLastSecond(MonotonicTime Now) const {
-  return static_cast<uint32_t>(
-      std::count_if(ColdSends.begin(), ColdSends.end(),
-                    [Now](MonotonicTime At) { return Now - At < Seconds(1); }));
+MonotonicTime BackendServer::nextColdSendAt(double Limit,
+                                            MonotonicTime Now) const {
+  if (!cold(Now) || static_cast<double>(ColdSends.size()) + 1 <= Limit)
+    return Now;
+  if (Limit < 1)
+    return ColdUntil;
+  // Of the sends in the second before it, one less than the limit may be left.
+  size_t Oldest = ColdSends.size() - static_cast<size_t>(Limit);
+  return std::min(ColdUntil, ColdSends[Oldest] + Seconds(1));
 }
 
 void BackendServer::recordEnd(MonotonicTime SentAt) {
--- a/balance/backend_server.h
+++ b/balance/backend_server.h
@@ -132,8 +132,9 @@
   }
   MonotonicTime ejectedUntil() const { return EjectedUntil; }
 
-  /// Number of requests sent in the last second while it was cold.
-  uint32_t coldSendsInLastSecond(MonotonicTime Now) const;
+  /// When one more request keeps to \p Limit requests in a second while it is
+  /// cold; not after \p Now if it does so now.
+  MonotonicTime nextColdSendAt(double Limit, MonotonicTime Now) const;
 
 private:
   static constexpr uint32_t EjectAfterFailures = 2;
--- a/balance/call_queue_test.cpp
+++ b/balance/call_queue_test.cpp
@@ -41,5 +41,31 @@
   EXPECT_EQ(Recorder.outcome(Joining), CallOutcome::Answered);
 }
 
+// Guards against calls that wait for a cold backend server beyond the second in
+// which it may get no more requests.
+TEST_F(CallQueueTest, ColdBackendServerGetsQueuedCallsOfTheNextSecond) {
+  constexpr int ColdRate = 4;
+  Registry.setColdAllowance(1, 1);
+  Registry.setLimits(Shard, 36, ColdRate);
+  BackendServerEntry Entry;
+  Entry.Id = BackendServerId("a");
+  Entry.Service = Shard;
+  Entry.Zone = OwnZone;
+  Entry.Slots = 4;
+  Entry.ColdRemaining = Seconds(60);
+  Registry.update(Entry, Backends.Now);
+  std::vector<CallId> Ids;
+  for (int I = 0; I < 2 * ColdRate; ++I) {
+    CallRequest Request = request();
+    Request.Deadline = Request.UsefulUntil = Start + Seconds(4);
+    Ids.push_back(begin(Request));
+    Backends.advance(Calls, Backends.Now + Milliseconds(50));
+  }
+  ASSERT_GT(Calls.waitingCalls(Shard), 0u);
+  Backends.advance(Calls, Start + Milliseconds(2500));
+  EXPECT_EQ(Calls.waitingCalls(Shard), 0u);
+  EXPECT_EQ(Recorder.count(CallOutcome::Answered), Ids.size());
+}
+
 } // namespace
 } // namespace mimosa
--- a/balance/server_registry.cpp
+++ b/balance/server_registry.cpp
@@ -247,17 +247,24 @@
   return usable(Server) && (!Server.ejected() || Server.trialDue(Now));
 }
 
+double ServerRegistry::coldSendLimit(const BackendServer &Server) const {
+  double ColdRate = limitsOf(Server.entry().Service).ColdRate;
+  if (ColdRate <= 0)
+    return std::numeric_limits<double>::max();
+  return (ColdRate * ColdOverage + ColdSlack) * ColdLimitShare / HostCount;
+}
+
+MonotonicTime ServerRegistry::nextSendAt(const BackendServer &Server,
+                                         MonotonicTime Now) const {
+  return std::max({Server.pushback().nextSendAt(HostCount),
+                   Server.declinePauseUntil(),
+                   Server.nextColdSendAt(coldSendLimit(Server), Now)});
+}
+
 bool ServerRegistry::belowLimits(const BackendServer &Server,
                                  MonotonicTime Now) const {
-  if (Server.inFlight() >= inFlightLimit(Server, Now) ||
-      heldBack(Server, Now) || Now < Server.declinePauseUntil())
-    return false;
-  double ColdRate = limitsOf(Server.entry().Service).ColdRate;
-  if (ColdRate <= 0 || !Server.cold(Now))
-    return true;
-  double MaxRequests =
-      (ColdRate * ColdOverage + ColdSlack) * ColdLimitShare / HostCount;
-  return Server.coldSendsInLastSecond(Now) + 1 <= MaxRequests;
+  return Server.inFlight() < inFlightLimit(Server, Now) &&
+         nextSendAt(Server, Now) <= Now;
 }
 
 double ServerRegistry::selectionCost(const BackendServer &Server,
@@ -387,10 +394,9 @@
                                             MonotonicTime Now) const {
   MonotonicTime Next = MonotonicTime::max();
   for (const BackendServerPtr &Server : servers(Service))
-    if (usable(*Server) &&
-        (heldBack(*Server, Now) || Now < Server->declinePauseUntil()))
-      Next = std::min(Next, std::max(Server->pushback().nextSendAt(HostCount),
-                                     Server->declinePauseUntil()));
+    if (MonotonicTime At = nextSendAt(*Server, Now);
+        usable(*Server) && At > Now)
+      Next = std::min(Next, At);
   return Next;
 }
 
--- a/balance/server_registry.h
+++ b/balance/server_registry.h
@@ -128,8 +128,9 @@
   MonotonicTime earliestSendAt(const ServiceId &Service,
                                const std::vector<BackendServerPtr> &Tried,
                                MonotonicTime Now) const;
-  /// When the next backend server of \p Service that is held back ceases to be
-  /// so; the latest of all times if none is.
+  /// When the next backend server of \p Service that is held back, paused after
+  /// declines or at its limit while cold ceases to be so; the latest of all
+  /// times if none is.
   MonotonicTime nextReleaseAt(const ServiceId &Service,
                               MonotonicTime Now) const;
   /// Whether a backend server that is not in \p Tried can take a request once
@@ -190,6 +191,13 @@
   };
 
   const Limits &limitsOf(const ServiceId &Service) const;
+  /// Requests that this host may send to \p Server in a second while it is
+  /// cold; the highest double if that is not limited.
+  double coldSendLimit(const BackendServer &Server) const;
+  /// When limits other than that on requests in flight allow one more request
+  /// to \p Server; not after \p Now if they do.
+  MonotonicTime nextSendAt(const BackendServer &Server,
+                           MonotonicTime Now) const;
   /// Whether \p Server may get one more request from this host now.
   bool belowLimits(const BackendServer &Server, MonotonicTime Now) const;
   /// Whether \p Server is usable and either not ejected or due for a trial.
