Send queued calls when backend servers or their limits change

Calls waited until they were refused, although an evacuation had been taken back, or a backend server had been added.

Such a change makes backend servers free without an end of an attempt, and nothing sent the queues.

Change: CallScheduler::serversChanged() is called after changes of entries, zones, hosts, limits and the configuration, and once a second for roll-outs.

--- a/balance/call_queue.cpp
+++ b/balance/call_queue.cpp
@@ -239,6 +239,15 @@
   }
 }
 
+void CallScheduler::serversChanged(MonotonicTime Now) {
+  std::vector<ServiceId> Services;
+  for (const auto &[Service, Queue] : Queues)
+    if (!Queue.Waiting.empty())
+      Services.push_back(Service);
+  for (const ServiceId &Service : Services)
+    sendWaiting(Service, Now);
+}
+
 size_t CallScheduler::waitingCalls(const ServiceId &Service) const {
   auto Found = Queues.find(Service);
   return Found == Queues.end() ? 0 : Found->second.size();
--- a/balance/call_queue_test.cpp
+++ b/balance/call_queue_test.cpp
@@ -4,6 +4,8 @@
 
 #include "balance/call_scheduler_test_util.h"
 
+#include <rapidcheck/gtest.h>
+
 namespace mimosa {
 namespace {
 
@@ -22,6 +24,11 @@
     }
     Backends.Servers["a"].ShedsRequests = false;
   }
+
+  void evacuateZones(std::set<AvailabilityZoneId> Zones) {
+    Registry.setEvacuatedZones(std::move(Zones));
+    Calls.serversChanged(Backends.Now);
+  }
 };
 
 // Guards against a host that sends nothing more to an idle backend server: a
@@ -67,5 +74,119 @@
   EXPECT_EQ(Recorder.count(CallOutcome::Answered), Ids.size());
 }
 
+// Guards against calls that wait until their deadline, although an evacuation
+// was taken back or a backend server was added.
+TEST_F(CallQueueTest, ChangedServersGetQueuedCalls) {
+  addServer("a");
+  pauseByDeclines();
+  CallId Waiting = begin(request());
+  ASSERT_EQ(Calls.waitingCalls(Shard), 1u);
+  evacuateZones({OwnZone});
+  Backends.advance(Calls, Backends.Now + Milliseconds(10));
+  ASSERT_EQ(Calls.waitingCalls(Shard), 1u);
+  MonotonicTime ChangedAt = Backends.Now;
+  evacuateZones({});
+  addServer("b", "z2");
+  Calls.serversChanged(Backends.Now);
+  Backends.advance(Calls, Backends.Now + Milliseconds(100));
+  EXPECT_EQ(Recorder.outcome(Waiting), CallOutcome::Answered);
+  EXPECT_LE(Recorder.EndedAt.at(Waiting), ChangedAt + Milliseconds(17));
+}
+
+/// One step of a random load.
+struct LoadStep {
+  enum class Kind {
+    BeginCall,
+    Advance,
+    DelayTimers,
+    ToggleDeclines,
+    ToggleLosses,
+    ToggleZone,
+    ToggleServer,
+    Count
+  };
+  Kind What = Kind::BeginCall;
+  int Amount = 0;
+};
+
+class QueueLoad : public CallQueueTest {
+public:
+  void TestBody() override {}
+
+  void apply(const LoadStep &Step) {
+    FakeBackends::Server &A = Backends.Servers["a"];
+    switch (Step.What) {
+    case LoadStep::Kind::BeginCall:
+      for (int I = 0; I < Step.Amount; ++I)
+        begin(request());
+      break;
+    case LoadStep::Kind::Advance:
+      Backends.advance(Calls, Backends.Now + Milliseconds(Step.Amount));
+      break;
+    case LoadStep::Kind::DelayTimers:
+      Backends.Now += Milliseconds(Step.Amount);
+      break;
+    case LoadStep::Kind::ToggleDeclines:
+      A.ShedsRequests = !A.ShedsRequests;
+      break;
+    case LoadStep::Kind::ToggleLosses:
+      A.LosesRequests = !A.LosesRequests;
+      break;
+    case LoadStep::Kind::ToggleZone:
+      Evacuated = !Evacuated;
+      evacuateZones(Evacuated ? std::set{OwnZone}
+                              : std::set<AvailabilityZoneId>());
+      break;
+    case LoadStep::Kind::ToggleServer:
+      if (!Registry.remove(BackendServerId("b")))
+        addServer("b", "z2");
+      Calls.serversChanged(Backends.Now);
+      break;
+    case LoadStep::Kind::Count:
+      break;
+    }
+  }
+
+  /// Ends all trouble and checks that calls are served again.
+  void checkServed() {
+    Backends.Servers["a"].ShedsRequests = false;
+    Backends.Servers["a"].LosesRequests = false;
+    evacuateZones({});
+    // Ejections and pauses end within this time.
+    constexpr Duration RecoveryTime = Seconds(3);
+    std::vector<CallId> Ids;
+    for (MonotonicTime End = Backends.Now + 2 * RecoveryTime;
+         Backends.Now < End;) {
+      CallId Id = begin(request());
+      if (Backends.Now > End - RecoveryTime)
+        Ids.push_back(Id);
+      Backends.advance(Calls, Backends.Now + Milliseconds(40));
+    }
+    Backends.advance(Calls, Backends.Now + Seconds(1));
+    RC_ASSERT(Calls.waitingCalls(Shard) == 0u);
+    for (CallId Id : Ids)
+      RC_ASSERT(Recorder.outcome(Id) == CallOutcome::Answered);
+  }
+
+  void addFirstServer() { addServer("a"); }
+
+private:
+  bool Evacuated = false;
+};
+
+// Guards against any order of declines, losses, changes and late timers after
+// which a host serves nothing more.
+RC_GTEST_PROP(CallQueueProperty, CallsAreServedAfterAnyTrouble, ()) {
+  QueueLoad Load;
+  Load.addFirstServer();
+  auto Steps =
+      *rc::gen::container<std::vector<std::pair<int, int>>>(rc::gen::pair(
+          rc::gen::inRange(0, static_cast<int>(LoadStep::Kind::Count)),
+          rc::gen::inRange(1, 12)));
+  for (auto [Kind, Amount] : Steps)
+    Load.apply({static_cast<LoadStep::Kind>(Kind), Amount});
+  Load.checkServed();
+}
+
 } // namespace
 } // namespace mimosa
--- a/balance/call_scheduler.h
+++ b/balance/call_scheduler.h
@@ -142,6 +142,11 @@
   /// of queued calls that end at once.
   size_t endCallsBy(MonotonicTime End, MonotonicTime Now);
 
+  /// Must be called when backend servers have been added, or when something
+  /// that kept them from getting requests has been changed from outside: the
+  /// queued calls that they can take now are sent.
+  void serversChanged(MonotonicTime Now);
+
   /// When the pauses and rate limits of the backend servers of \p Service allow
   /// a new call to be sent, behind those that are queued; the latest of all
   /// times if no backend server is usable. Other limits are not considered.
--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -261,6 +261,8 @@
   uint64_t RecentAttempts = Scheduler.counters().Attempts - LastAttemptCount;
   ConnectionPool.setKeepIdle(Directory.hasCallers(RecentAttempts, Loop.now()));
   Registry.expirePushback(Loop.now());
+  // Roll-outs change what backend servers may be used for without notice.
+  Scheduler.serversChanged(Loop.now());
   ConnectionPool.closeExpired();
   updateBusy();
   startMetricsServer();
@@ -294,6 +296,7 @@
                          Limits.IdleTimeout + IdleTimeoutMargin);
   for (const auto &[Id, S] : Config.Services)
     Registry.setLimits(Id, S.MaxConnections, S.ColdRate);
+  Scheduler.serversChanged(Loop.now());
   Quota.setTeams(Config.Teams ? &*Config.Teams : nullptr);
   Service.setRoutes(std::make_shared<const RouteTable>(std::move(Config)));
   Directory.setConfigured();
@@ -306,6 +309,7 @@
       " cold_ms=" + std::to_string(inMilliseconds(Entry.ColdRemaining)) +
       " sequence=" + std::to_string(Entry.Sequence);
   bool Accepted = Registry.update(std::move(Entry), Loop.now());
+  Scheduler.serversChanged(Loop.now());
   logInfo("node", (Accepted ? "event=server_listed " : "event=server_stale ") +
                       Details);
 }
@@ -321,6 +325,7 @@
     Names += (Names.empty() ? "" : ",") + Zone.text();
   logInfo("node", "event=zones_out zones=" + Names);
   Registry.setEvacuatedZones(std::move(Zones));
+  Scheduler.serversChanged(Loop.now());
 }
 
 void EntryNode::hostsChanged(std::vector<EntryHost> Hosts) {
@@ -337,6 +342,7 @@
       OtherHosts.push_back(Host.PeerAddress);
   Directory.setHosts(std::move(Hosts), Loop.now());
   Registry.setHostCount(Directory.sharingHosts(Loop.now()));
+  Scheduler.serversChanged(Loop.now());
   updateQuotaHosts();
 }
 
@@ -402,6 +408,7 @@
   for (const LiftedLimit &Each : valueOf(Received).Processes)
     if (Registry.liftLimit({Each.Server, Each.StartedAtMs}, Loop.now()))
       logInfo("node", "event=limit_lifted server=" + Each.Server.text());
+  Scheduler.serversChanged(Loop.now());
 }
 
 void EntryNode::broadcastStrike(const StrikeNotice &Notice) {
