Exchange strikes with hosts that have missed them

Cause: a strike was sent once, to the hosts listed at that moment, and kept in memory. A host that started later never learned of it.

Only hosts that were restarted since the last strike passed the request on, each until its second strike. The new process test failed before.

Change: hosts exchange strikes by anti-entropy. One that starts, or has not run for 3 s, asks others for all strikes; each asks a partner a second and compares digests of quarantined requests. Two metrics show hosts that differ.

--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -105,6 +105,7 @@
       OwnRegistration(candidateOf(Self), Options.FirstStart, Rng),
       Store(Loop, Options.StoreAddress),
       Feed(Loop, Store, Self, Options.Seeds, Options.Relaying, *this),
+      Sharing(Loop, Feed.peers(), Options.PeerAddress, Crashes, Rng, Metrics),
       Quota(Loop, Feed.peers(), Options.PeerAddress, Incarnation(Seed),
             Options.Quota, Metrics, [this] { return Feed.cacheAge(); }),
       Rollouts(Loop, Registry, Scheduler, Feed, Store, Metrics, Rng, Self,
@@ -125,7 +126,7 @@
                                  : std::nullopt,
                              [this] { return Feed.cacheAge(); });
   Service.setRefuseCongested(Options.RefuseCongested);
-  Service.onStrike([this](const StrikeNotice &N) { broadcastStrike(N); });
+  Service.onStrike([this](const StrikeNotice &N) { Sharing.broadcast(N); });
   Service.setQuota(Quota);
   Scheduler.onEarlierWakeUp([this] { TimerChanged.set(); });
   if (!Options.MetricsAddress.empty())
@@ -226,6 +227,7 @@
       Loop.every(LiftedLimitsInterval, [this] { broadcastLiftedLimits(); });
   LogFlushTimer = Loop.every(LogFlushInterval, [] { flushLog(); });
   Quota.start(Options.Seeds);
+  Sharing.start(Options.Seeds);
   Feed.start();
   Rollouts.start();
   logInfo("node", "event=started host=" + Options.HostName +
@@ -340,6 +342,7 @@
   for (const EntryHost &Host : Hosts)
     if (Host.PeerAddress != Self.PeerAddress)
       OtherHosts.push_back(Host.PeerAddress);
+  Sharing.setHosts(OtherHosts);
   Directory.setHosts(std::move(Hosts), Loop.now());
   Registry.setHostCount(Directory.sharingHosts(Loop.now()));
   Scheduler.serversChanged(Loop.now());
@@ -378,15 +381,9 @@
     Rollouts.handleEvidence(Frame, Reply);
     return true;
   }
-  if (Frame.Type != MessageType::StrikeNotice)
-    return Feed.peerHandler().handleFrame(Frame, std::move(Reply));
-  Result<StrikeNotice> Notice = unpackBody<StrikeNotice>(Frame.Body);
-  if (ok(Notice))
-    Crashes.strikeReceived(valueOf(Notice), Loop.now());
-  else
-    logWarn("node",
-            "event=bad_strike reason=\"" + errorOf(Notice).Message + "\"");
-  return true;
+  if (Sharing.handleFrame(Frame, Reply))
+    return true;
+  return Feed.peerHandler().handleFrame(Frame, std::move(Reply));
 }
 
 void EntryNode::broadcastLiftedLimits() {
@@ -411,11 +408,6 @@
   Scheduler.serversChanged(Loop.now());
 }
 
-void EntryNode::broadcastStrike(const StrikeNotice &Notice) {
-  for (const HostId &Host : OtherHosts)
-    Feed.peers().send(Host, MessageType::StrikeNotice, packBody(Notice));
-}
-
 void EntryNode::reload(const EntryOptions &NewOptions) {
   Options.RetryBudget = NewOptions.RetryBudget;
   Options.ColdOverage = NewOptions.ColdOverage;
--- a/entry/entry_node.h
+++ b/entry/entry_node.h
@@ -17,6 +17,7 @@
 #include "entry/team_quota.h"
 #include "placement/registration.h"
 #include "platform/platform_feed.h"
+#include "quarantine/strike_sharing.h"
 #include "runtime/loop_monitor.h"
 
 namespace mimosa {
@@ -85,7 +86,6 @@
                                 const std::string &Reason) override;
 
   bool handleFrame(const PeerFrame &Frame, PeerReplier Reply) override;
-  void broadcastStrike(const StrikeNotice &Notice);
   void broadcastLiftedLimits();
   void limitsLifted(const PeerFrame &Frame);
   /// Names the hosts that share the quotas of teams.
@@ -123,6 +123,7 @@
   Registration OwnRegistration;
   MetadataStore Store;
   PlatformFeed Feed;
+  StrikeSharing Sharing;
   TeamQuota Quota;
   RolloutDriver Rollouts;
   DirectoryPages Pages;
--- a/quarantine/crash_watch.h
+++ b/quarantine/crash_watch.h
@@ -32,7 +32,7 @@
                                std::string_view Body);
 
 /// Counts the strikes of this host and its peers. See the head of this file.
-class CrashWatch {
+class CrashWatch : public StrikeLog {
 public:
   /// \p Host and \p HostIncarnation are part of the ids of this host's strikes.
   CrashWatch(HostId Host, Incarnation HostIncarnation);
@@ -48,10 +48,10 @@
                                             const ServiceId &Service,
                                             uint32_t LostAttempts,
                                             bool Succeeded, MonotonicTime Now);
-  /// Counts another host's strike.
-  void strikeReceived(const StrikeNotice &Notice, MonotonicTime Now) {
-    Strikes.add(Notice, Now);
+  bool strikeReceived(const StrikeNotice &Notice, MonotonicTime Now) override {
+    return Strikes.add(Notice, Now);
   }
+  const StrikeStore &strikeStore() const override { return Strikes; }
 
 private:
   HostId Host;
--- a/quarantine/messages.h
+++ b/quarantine/messages.h
@@ -8,6 +8,7 @@
 #include "base/message_codec.h"
 
 #include <cstdint>
+#include <vector>
 
 namespace mimosa {
 
@@ -47,6 +48,34 @@
   MSGPACK_DEFINE_MAP(Sender, Id);
 };
 
+/// Strikes that hosts compare.
+enum class StrikeScope : uint8_t {
+  /// Those of quarantined requests.
+  Quarantined = 0,
+  All = 1,
+};
+
+} // namespace mimosa
+
+MSGPACK_ADD_ENUM(mimosa::StrikeScope)
+
+namespace mimosa {
+
+/// Message 28: asks for the strikes in \c Scope, unless \c Digest is that of
+/// the receiver, too.
+struct StrikeQuery {
+  StrikeScope Scope = StrikeScope::Quarantined;
+  uint64_t Digest = 0;
+  MSGPACK_DEFINE_MAP(Scope, Digest);
+};
+
+/// Message 29: the strikes that a host has counted; empty if the digests are
+/// equal.
+struct StrikeReport {
+  std::vector<StrikeNotice> Strikes;
+  MSGPACK_DEFINE_MAP(Strikes);
+};
+
 } // namespace mimosa
 
 #endif // MIMOSA_QUARANTINE_MESSAGES_H
--- a/quarantine/module.cmake
+++ b/quarantine/module.cmake
@@ -1,1 +1,1 @@
-mimosa_module(quarantine mimosa_base)
+mimosa_module(quarantine mimosa_runtime)
--- a/quarantine/quarantine.h
+++ b/quarantine/quarantine.h
@@ -129,10 +129,7 @@
   std::vector<QuarantineRelease> strikeReceived(const StrikeNotice &Notice,
                                                 MonotonicTime Now);
 
-  /// Notices of all unexpired strikes, for a host that joins the host set.
-  std::vector<StrikeNotice> notices(MonotonicTime Now) const {
-    return Strikes.notices(Now);
-  }
+  const StrikeStore &strikeStore() const { return Strikes; }
 
   size_t strikes(Fingerprint RequestFingerprint, MonotonicTime Now) const {
     return Strikes.strikes(RequestFingerprint, Now);
--- a/quarantine/quarantine_test.cpp
+++ b/quarantine/quarantine_test.cpp
@@ -268,7 +268,9 @@
   crash(Guard, Bad, Start);
   for (uint64_t I = 100; I < 200; ++I)
     Guard.strikeReceived(peerStrike(I, Fingerprint(I)), Start + Duration(I));
-  EXPECT_EQ(Guard.notices(Start + Seconds(1)).size(), 9u);
+  EXPECT_EQ(
+      Guard.strikeStore().notices(StrikeScope::All, Start + Seconds(1)).size(),
+      9u);
   EXPECT_EQ(Guard.strikes(Bad, Start + Seconds(1)), 2u);
   for (uint64_t I = 0; I < 5; ++I)
     EXPECT_EQ(Guard.decide(Fingerprint(7), RequestId(I), Start),
--- a/quarantine/strike_store.cpp
+++ b/quarantine/strike_store.cpp
@@ -1,5 +1,7 @@
 #include "quarantine/strike_store.h"
 
+#include "base/rendezvous.h"
+
 #include <algorithm>
 
 namespace mimosa {
@@ -58,17 +60,48 @@
   return strikes(RequestFingerprint, Now) >= StrikesToQuarantine;
 }
 
-std::vector<StrikeNotice> StrikeStore::notices(MonotonicTime Now) const {
-  std::vector<StrikeNotice> All;
+std::vector<StrikeNotice> StrikeStore::notices(StrikeScope Scope,
+                                               MonotonicTime Now) const {
+  std::vector<const Record *> Ranked;
+  for (const auto &[RequestFingerprint, Strikes] : Records)
+    if (inScope(Strikes, Scope, Now))
+      Ranked.push_back(&Strikes);
+  std::sort(Ranked.begin(), Ranked.end(), [](const Record *A, const Record *B) {
+    return std::make_pair(A->Notices.size(), A->LastStrike) >
+           std::make_pair(B->Notices.size(), B->LastStrike);
+  });
+  std::vector<StrikeNotice> Out;
+  for (const Record *Strikes : Ranked)
+    for (StrikeNotice Notice : Strikes->Notices) {
+      Notice.Age = Now - Strikes->LastStrike;
+      Out.push_back(std::move(Notice));
+    }
+  return Out;
+}
+
+uint64_t StrikeStore::digest(StrikeScope Scope, MonotonicTime Now) const {
+  uint64_t Digest = 0;
   for (const auto &[RequestFingerprint, Strikes] : Records) {
-    if (expired(Strikes, Now))
+    if (!inScope(Strikes, Scope, Now))
       continue;
-    for (StrikeNotice Notice : Strikes.Notices) {
-      Notice.Age = Now - Strikes.LastStrike;
-      All.push_back(std::move(Notice));
+    std::string Key = std::to_string(RequestFingerprint.number());
+    if (!quarantined(Strikes)) {
+      const StrikeId &Id = Strikes.Notices.front().Id;
+      Key += "/" + Id.Host.text() + "/" +
+             std::to_string(Id.HostIncarnation.number()) + "/" +
+             std::to_string(Id.Sequence);
     }
+    // The order of the records differs between stores.
+    Digest ^= hash64(Key);
   }
-  return All;
+  return Digest;
+}
+
+size_t StrikeStore::quarantinedCount(MonotonicTime Now) const {
+  return static_cast<size_t>(
+      std::count_if(Records.begin(), Records.end(), [&](const auto &Entry) {
+        return inScope(Entry.second, StrikeScope::Quarantined, Now);
+      }));
 }
 
 } // namespace mimosa
--- a/quarantine/strike_store.h
+++ b/quarantine/strike_store.h
@@ -38,11 +38,18 @@
   /// Number of strikes against \p RequestFingerprint.
   size_t strikes(Fingerprint RequestFingerprint, MonotonicTime Now) const;
 
-  /// Notices of all unexpired strikes, for a host that joins the host set.
-  std::vector<StrikeNotice> notices(MonotonicTime Now) const;
+  /// Notices of the unexpired strikes in \p Scope, those of quarantined
+  /// fingerprints first, and of the latest strikes among equals.
+  std::vector<StrikeNotice> notices(StrikeScope Scope, MonotonicTime Now) const;
+
+  /// Equal for stores that hold the same unexpired strikes in \p Scope. Of a
+  /// quarantined fingerprint, it does not matter which strikes they are.
+  uint64_t digest(StrikeScope Scope, MonotonicTime Now) const;
 
   /// Number of fingerprints, including expired ones.
   size_t size() const { return Records.size(); }
+  /// Number of quarantined fingerprints.
+  size_t quarantinedCount(MonotonicTime Now) const;
 
 private:
   struct Record {
@@ -54,6 +61,15 @@
   bool expired(const Record &Strikes, MonotonicTime Now) const {
     return Now - Strikes.LastStrike >= Lifetime;
   }
+  static bool quarantined(const Record &Strikes) {
+    return Strikes.Notices.size() >= StrikesToQuarantine;
+  }
+  /// Whether \p Strikes is unexpired and in \p Scope.
+  bool inScope(const Record &Strikes, StrikeScope Scope,
+               MonotonicTime Now) const {
+    return !expired(Strikes, Now) &&
+           (Scope == StrikeScope::All || quarantined(Strikes));
+  }
   /// Drops expired records, or else one record, if the store is full.
   void makeRoom(MonotonicTime Now);
 
@@ -62,6 +78,17 @@
   std::unordered_map<Fingerprint, Record> Records;
 };
 
+/// What a class that counts strikes offers for their exchange between hosts.
+class StrikeLog {
+public:
+  virtual ~StrikeLog() = default;
+  virtual const StrikeStore &strikeStore() const = 0;
+  /// Counts another host's strike; false if it has no effect, see
+  /// StrikeStore::add().
+  virtual bool strikeReceived(const StrikeNotice &Notice,
+                              MonotonicTime Now) = 0;
+};
+
 } // namespace mimosa
 
 #endif // MIMOSA_QUARANTINE_STRIKE_STORE_H
--- a/runtime/peer.h
+++ b/runtime/peer.h
@@ -50,6 +50,8 @@
   LiftedLimits = 25,
   SharedUsage = 26,
   RolloutEvidence = 27,
+  StrikeQuery = 28,
+  StrikeReport = 29,
   Dispatch = 30,
   DispatchReply = 31,
   DispatchCancel = 32,
--- a/tools/entry_test.py
+++ b/tools/entry_test.py
@@ -20,6 +20,8 @@
 
 SHARDS = 10
 TOP_K = 5
+#: Time after which a host knows what the others know.
+CONTACT_S = 4.0
 
 
 def record(shard: int, number: int) -> bytes:
@@ -111,6 +113,24 @@
             self.assertLess(time.monotonic(), end, f"condition not met within {limit_s} s")
             time.sleep(0.05)
 
+    def test_restarted_host_sends_a_request_that_crashes_searchers(self) -> None:
+        # It knew nothing of what the others had quarantined (review case 10).
+        second = self.start_second()
+        self.wait_for(5, lambda: len(self.store.keys("mimosa/hosts/")) == 2)
+        time.sleep(1.5)
+        for searcher in self.accounts:
+            searcher.loses_answers = True
+        for _ in range(2):
+            self.assertEqual(self.send_request("/one/crash")[0], 502)
+        self.wait_for(1, lambda: self.send_request("/one/crash", entry=second)[0] == 503)
+        runs = sum(len(searcher.runs) for searcher in self.accounts)
+        second.process.send_signal(signal.SIGTERM)
+        second.process.wait(TERMINATION_GRACE_S)
+        second = self.start_second()
+        time.sleep(CONTACT_S)
+        self.assertEqual(self.send_request("/one/crash", entry=second)[0], 503)
+        self.assertEqual(sum(len(searcher.runs) for searcher in self.accounts), runs)
+
     def test_removed_searcher_gets_requests_after_an_outage(self) -> None:
         # It got some for up to 4 s, if the host had been cut off from the store before (review
         # case 5). The second host follows the first one.
