--- a/review/rig_3/rig.py
+++ b/review/rig_3/rig.py
@@ -49,6 +49,8 @@
 LIMITS = {"cpuShare": 0.25, "cpuCores": 1, "memoryMb": 260, "maxFds": 4100, "linkMbps": 1000.0}
 CONFIG_APPLY_S = BOUNDS["configApplyMs"] / 1000
 READY_TIMEOUT_S = 10.0
+#: "A process that exits or is killed is restarted after a short delay" (DEPLOY.md).
+RESTART_DELAY_S = 1.0
 
 
 class Record:
@@ -164,6 +166,11 @@
         self.runs: list[Run] = []
         self.fails_after_run: Callable[[], bool] = lambda: False
         self.loses_answer: Callable[[], bool] = lambda: False
+        #: Counts the runs in place of recording each, for a crowd.
+        self.counts_only = False
+        self.run_count = 0
+        #: Lengths of its answers, taken in turn; a short text if there are none.
+        self.answer_bytes: tuple[int, ...] = ()
         self._listener = socket.create_server((f"127.0.1.{number}", 0), backlog=128)
         self.address = "{}:{}".format(*self._listener.getsockname())
         threading.Thread(target=self._accept, daemon=True).start()
@@ -196,10 +203,14 @@
             return self._send(sock, method, 200, [f"Instance-Id: {self.name}"], b"")
         if request.header("Expect-Instance") != self.name:
             return self._send(sock, method, 421, [*headers, f"Instance-Id: {self.name}"], b"")
-        self.runs.append(Run(attempt_id, method, target, request.body))
-        self.record.write(f"run {attempt_id} at {self.name}: {method} {target} "
-                          f"body={len(request.body)} bytes")
-        time.sleep(self.work_s)
+        if self.counts_only:
+            self.run_count += 1
+        else:
+            self.runs.append(Run(attempt_id, method, target, request.body))
+            self.record.write(f"run {attempt_id} at {self.name}: {method} {target} "
+                              f"body={len(request.body)} bytes")
+        if self.work_s:
+            time.sleep(self.work_s)
         headers.append(f"Server-Stamp: {self.name}.{attempt_id}")
         if self.loses_answer():
             self.record.write(f"lose {attempt_id} at {self.name}: reset")
@@ -208,7 +219,10 @@
         if self.fails_after_run():
             self.record.write(f"fail {attempt_id} at {self.name}: 503 without Not-Executed")
             return self._send(sock, method, 503, headers, b"a dependency failed")
-        return self._send(sock, method, 200, headers, f"done {target}".encode())
+        body = f"done {target}".encode()
+        if self.answer_bytes:
+            body = b"x" * self.answer_bytes[self.run_count % len(self.answer_bytes)]
+        return self._send(sock, method, 200, headers, body)
 
     @staticmethod
     def _send(sock: socket.socket, method: str, status: int, headers: list[str],
@@ -232,6 +246,9 @@
         self.record = Record(folder)
         self.temporary = pathlib.Path(tempfile.mkdtemp(prefix="review-3-"))
         self.processes: list[subprocess.Popen[bytes]] = []
+        self.starts: list[tuple[dict[str, str], str]] = []
+        self.stopping = False
+        self.limits_memory = False
         self.version = 5
         self.store = Store()
         self.searchers: dict[str, list[Searcher]] = {}
@@ -286,10 +303,36 @@
                        if name in os.environ}
         environment["MIMOSAWALL_SETTINGS"] = str(path)
         environment.update({name: str(path) for name in self._role["env"]})
-        log = (self.temporary / f"host-{index}.log").open("wb")
-        self.processes.append(subprocess.Popen(
-            self._role["run"].split(), cwd=ROOT, env=environment, stdout=log,
-            stderr=subprocess.STDOUT))
+        self.starts.append((environment, f"host-{index}.log"))
+        self.processes.append(self._start_process(index))
+
+    def _start_process(self, index: int) -> subprocess.Popen[bytes]:
+        environment, log = self.starts[index]
+        with (self.temporary / log).open("ab") as out:
+            return subprocess.Popen(self._role["run"].split(), cwd=ROOT, env=environment,
+                                    stdout=out, stderr=subprocess.STDOUT)
+
+    def limit_memory(self) -> list[str]:
+        """Kills a host that exceeds its memory, and starts it again; returns the kills."""
+        self.limits_memory = True
+        kills: list[str] = []
+        threading.Thread(target=self._limit_memory, args=(kills,), daemon=True).start()
+        return kills
+
+    def _limit_memory(self, kills: list[str]) -> None:
+        while not self.stopping:
+            time.sleep(0.02)
+            for index, process in enumerate(list(self.processes)):
+                used_mb = peak_memory_mb(process.pid)
+                if used_mb <= LIMITS["memoryMb"]:
+                    continue
+                process.kill()
+                process.wait()
+                kills.append(f"front-{index + 1} had {used_mb} MB of {LIMITS['memoryMb']} MB")
+                self.record.write(f"kill: {kills[-1]}")
+                time.sleep(RESTART_DELAY_S)
+                if not self.stopping:
+                    self.processes[index] = self._start_process(index)
 
     def _await_ready(self, address: str, port: int) -> None:
         end = time.monotonic() + READY_TIMEOUT_S
@@ -311,6 +354,8 @@
         return all(process.poll() is None for process in self.processes)
 
     def stop(self) -> None:
+        self.stopping = True
+        time.sleep(2 * RESTART_DELAY_S if self.limits_memory else 0.2)
         for process in self.processes:
             process.kill()
         for process in self.processes:
@@ -360,6 +405,16 @@
         return answer
 
 
+def peak_memory_mb(pid: int) -> int:
+    """Returns the largest memory that a process has had; 0 if it has ended."""
+    try:
+        status = pathlib.Path(f"/proc/{pid}/status").read_text(encoding="utf-8")
+    except OSError:
+        return 0
+    found = re.search(r"VmHWM:\s+(\d+) kB", status)
+    return int(found[1]) // 1024 if found else 0
+
+
 def _free_port() -> int:
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
