--- a/review/13/case.py
+++ b/review/13/case.py
@@ -16,6 +16,8 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "rig_3"))
 from rig import TROUBLE, Requester, System, route, run_case  # noqa: E402
 
+#: What was sent, answered and run.
+RECORD = pathlib.Path(__file__).resolve().parent / "record.txt"
 SERVICE = "facturation"
 SEARCHERS = 7
 FAILING_SHARE = 0.45
@@ -99,4 +101,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(pathlib.Path(__file__).resolve().parent, {SERVICE: SEARCHERS}, 0.05, play))
+    sys.exit(run_case(RECORD, {SERVICE: SEARCHERS}, 0.05, play))
--- a/review/rig_3/rig.py
+++ b/review/rig_3/rig.py
@@ -56,8 +56,8 @@
 class Record:
     """Writes what was sent, answered and run, in the order in which it was seen."""
 
-    def __init__(self, folder: pathlib.Path) -> None:
-        self._file = (folder / "record.txt").open("w", encoding="utf-8")
+    def __init__(self, path: pathlib.Path) -> None:
+        self._file = path.open("w", encoding="utf-8")
         self._lock = threading.Lock()
         self._start = time.monotonic()
 
@@ -241,9 +241,8 @@
 class System:
     """The store, the searchers of the named services and two hosts in two zones."""
 
-    def __init__(self, folder: pathlib.Path, services: dict[str, int], work_s: float) -> None:
-        self.folder = folder
-        self.record = Record(folder)
+    def __init__(self, record: pathlib.Path, services: dict[str, int], work_s: float) -> None:
+        self.record = Record(record)
         self.temporary = pathlib.Path(tempfile.mkdtemp(prefix="review-3-"))
         self.processes: list[subprocess.Popen[bytes]] = []
         self.starts: list[tuple[dict[str, str], str]] = []
@@ -421,12 +420,15 @@
         return int(probe.getsockname()[1])
 
 
-def run_case(folder: pathlib.Path, services: dict[str, int], work_s: float,
+def run_case(record: pathlib.Path, services: dict[str, int], work_s: float,
              play: Callable[[System], list[str]]) -> int:
-    """Plays a case; returns the exit status and prints each breach that ``play`` returns."""
+    """Plays a case; returns the exit status and prints the first breaches that ``play`` returns.
+
+    What was sent, answered and run is written to the file ``record``.
+    """
     # A script that is stopped ends its processes, too.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
-    system = System(folder, services, work_s)
+    system = System(record, services, work_s)
     try:
         breaches = play(system)
         if not system.hosts_run():
