Promise that a request has not run only if it has not

Callers of routes of kind "unsafe" got 503 for requests that a backend server had run, sent them again, as that promise lets them, and had them run twice.

Cause: EntryService forwarded any answer that is no decline with the status that the backend server had chosen. A backend server whose own dependency fails may say 503, 429 or 408 after a run. To callers these statuses state that the request has not run and never will. The host knew better, since the answer had no Not-Executed.

Change: each end of a request states what is known of it (RunState), and AnswerValidator, the last step of all ends, compares it with the status. A promise passes only if the request has not run, a success only if it has. This works for every end, since none reaches the HTTP server past the validator, and the state comes from the scheduler's account of attempts and not from the status.

--- /dev/null
+++ b/entry/answer_validator.h
@@ -0,0 +1,76 @@
+// The last step of each caller's request: passes on the response that was made
+// for it if the response states nothing that contradicts what is known of the
+// request, and replaces it otherwise.
+//
+//   AnswerValidator Validator(Metrics);
+//   return Validator.validate({RunState::MayHaveRun, Response}, RequestId);
+//
+// The ends of a request, and what its caller may be told:
+//
+//   end                                          run state      statuses
+//   invalid, unknown key, no route               NeverSent      400, 401, 404
+//   refused before it is sent, over quota        NeverSent      503, 429
+//   queued until it would be late, not sent      NeverSent      503
+//   declined by all backend servers that got it  Declined       503
+//   answered with success, merged                HasRun         2xx
+//   answered otherwise                           MayHaveRun     any but 2xx and
+//                                                               promises
+//   lost, malformed answer, deadline             MayHaveRun     502, 504
+//
+// 408, 421, 429 and 503 are promises that the request has not run and never
+// will. A backend server may use them, too, for a failure after it has run the
+// request; its caller gets a 502. A response that takes the place of a backend
+// server's has no signature.
+//
+// Requests that have not been read completely end in HttpServer, which passes
+// none of them to its handler.
+
+#ifndef MIMOSA_ENTRY_ANSWER_VALIDATOR_H
+#define MIMOSA_ENTRY_ANSWER_VALIDATOR_H
+
+#include "balance/call.h"
+#include "runtime/http.h"
+#include "runtime/metrics.h"
+
+namespace mimosa {
+
+/// What is known of a request that has ended, with all of its attempts.
+enum class RunState {
+  /// No backend server has got it, and none will.
+  NeverSent,
+  /// Each backend server that got it has stated that it has not run it. It is
+  /// not sent again.
+  Declined,
+  MayHaveRun,
+  HasRun,
+};
+
+/// Whether a request in \p State has not run and never will.
+constexpr bool hasNotRun(RunState State) {
+  return State == RunState::NeverSent || State == RunState::Declined;
+}
+
+/// What \p Result says of its request.
+RunState runStateOf(const CallResult &Result);
+
+/// The response to a request, and what is known of the request.
+struct CallerAnswer {
+  RunState State = RunState::MayHaveRun;
+  HttpResponse Response;
+};
+
+class AnswerValidator {
+public:
+  explicit AnswerValidator(MetricsRegistry &Metrics) : Metrics(Metrics) {}
+
+  /// Returns the response of \p Answer if it is true of the request \p Id, and
+  /// a 502 with the code outcome_unknown otherwise.
+  HttpResponse validate(CallerAnswer Answer, const CallerRequestId &Id);
+
+private:
+  MetricsRegistry &Metrics;
+};
+
+} // namespace mimosa
+
+#endif // MIMOSA_ENTRY_ANSWER_VALIDATOR_H
--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -186,7 +186,7 @@
   return Out;
 }
 
-HttpResponse EntryService::refuse(const RequestContext &Context,
+CallerAnswer EntryService::refuse(const RequestContext &Context, RunState State,
                                   ResultCode Code, const std::string &Reason,
                                   Duration RetryAfter,
                                   const std::string &Detail) {
@@ -198,16 +198,17 @@
   recordOutcome(Context, "refused",
                 "reason=" + Reason + " retry_after_ms=" +
                     std::to_string(inMilliseconds(RetryAfter)) + Detail);
-  return encodeRefusal({Code, Reason}, RetryAfter);
+  return {State, encodeRefusal({Code, Reason}, RetryAfter)};
 }
 
-HttpResponse EntryService::refuseOverQuota(const RequestContext &Context) {
+CallerAnswer EntryService::refuseOverQuota(const RequestContext &Context) {
   Duration RetryAfter = Quota->retryAfter(Context.CallerTeam->Id, Rng);
   recordOutcome(Context, "refused",
                 "reason=quota retry_after_ms=" +
                     std::to_string(inMilliseconds(RetryAfter)) + " " +
                     Quota->describe(Context.CallerTeam->Id));
-  return encodeQuotaRefusal({ResultCode::QuotaExceeded, "quota"}, RetryAfter);
+  return {RunState::NeverSent,
+          encodeQuotaRefusal({ResultCode::QuotaExceeded, "quota"}, RetryAfter)};
 }
 
 void EntryService::refundQuota(const RequestContext &Context) {
@@ -215,26 +216,28 @@
     Quota->refund(Context.CallerTeam->Id);
 }
 
-HttpResponse EntryService::fail(const RequestContext &Context, bool TimedOut,
+CallerAnswer EntryService::fail(const RequestContext &Context, bool TimedOut,
                                 const std::string &Reason) {
   recordOutcome(Context, TimedOut ? "timeout" : "lost", Reason);
-  return TimedOut ? encodeFailure(504, {ResultCode::DeadlineExceeded, Reason})
-                  : encodeFailure(502, {ResultCode::OutcomeUnknown, Reason});
+  return {RunState::MayHaveRun,
+          TimedOut ? encodeFailure(504, {ResultCode::DeadlineExceeded, Reason})
+                   : encodeFailure(502, {ResultCode::OutcomeUnknown, Reason})};
 }
 
-HttpResponse EntryService::closeWithoutAnswer(const RequestContext &Context) {
+CallerAnswer EntryService::closeWithoutAnswer(const RequestContext &Context) {
   recordOutcome(Context, "caller_left", "");
-  HttpResponse Out;
-  Out.Status = 0;
+  CallerAnswer Out;
+  Out.Response.Status = 0;
   return Out;
 }
 
-HttpResponse
+CallerAnswer
 EntryService::refuseUnconfigured(const DecodedCallerRequest &Decoded) const {
   logRequest("request", "request=" + requestIdText(*Decoded.Request) +
                             " outcome=refused reason=unconfigured");
-  return encodeRefusal({ResultCode::StoreUnavailable, "unconfigured"},
-                       UnconfiguredRetryAfter);
+  return {RunState::NeverSent,
+          encodeRefusal({ResultCode::StoreUnavailable, "unconfigured"},
+                        UnconfiguredRetryAfter)};
 }
 
 void EntryService::shutDown(const ShutdownPlan &Plan) {
@@ -299,15 +302,25 @@
 HttpResponse
 EntryService::handle(const HttpRequest &Request,
                      const std::shared_ptr<CallerConnection> &Caller) {
+  CallerRequestId Id;
+  CallerAnswer Answer = serve(Request, Caller, Id);
+  return Validator.validate(std::move(Answer), Id);
+}
+
+CallerAnswer
+EntryService::serve(const HttpRequest &Request,
+                    const std::shared_ptr<CallerConnection> &Caller,
+                    CallerRequestId &Id) {
   Result<DecodedCallerRequest> DecodeResult = decodeCallerRequest(
       Request, Routes && Routes->config().Teams ? CallerKeys::Used
                                                 : CallerKeys::Ignored);
   if (!ok(DecodeResult)) {
     logRequest("request", "outcome=bad_request reason=\"" +
                               errorOf(DecodeResult).Message + "\"");
-    return encodeFailure(400, errorOf(DecodeResult));
+    return {RunState::NeverSent, encodeFailure(400, errorOf(DecodeResult))};
   }
   const DecodedCallerRequest &Decoded = valueOf(DecodeResult);
+  Id = Decoded.Request->Id;
   if (!Routes)
     return refuseUnconfigured(Decoded);
   const Route *MatchedRoute = Routes->find(Decoded.Host, Request.path());
@@ -316,25 +329,27 @@
                               " outcome=no_route host=" + Decoded.Host +
                               " path=" + std::string(Request.path()) +
                               " version=" + std::to_string(Routes->version()));
-    return encodeFailure(404, {ResultCode::NotFound, "no route"});
+    return {RunState::NeverSent,
+            encodeFailure(404, {ResultCode::NotFound, "no route"})};
   }
   auto Identified = identifyTeam(Decoded, *MatchedRoute);
   if (HttpResponse *Refusal = std::get_if<HttpResponse>(&Identified))
-    return std::move(*Refusal);
+    return {RunState::NeverSent, std::move(*Refusal)};
   const Team *CallerTeam = std::get<const Team *>(Identified);
   if (CallerTeam)
     setTeam(*Decoded.Request, CallerTeam->Id);
   RequestContext Context =
       makeContext(Decoded, Request, *MatchedRoute, CallerTeam, Caller);
   if (Crashes.quarantined(Context.RequestFingerprint, Loop.now()))
-    return refuse(Context, ResultCode::Quarantined, "crashes_backend_servers",
-                  QuarantinedRetryAfter);
+    return refuse(Context, RunState::NeverSent, ResultCode::Quarantined,
+                  "crashes_backend_servers", QuarantinedRetryAfter);
   if (Loop.now() >= Context.Times.Deadline)
-    return refuse(Context, ResultCode::DeadlineTooShort, "waited_too_long",
+    return refuse(Context, RunState::NeverSent, ResultCode::DeadlineTooShort,
+                  "waited_too_long",
                   retryAfter(CallReason::Overloaded, Duration(0), Rng));
   if (Shutdown && Loop.now() >= Shutdown->acceptUntil())
-    return refuse(Context, ResultCode::ShuttingDown, "stopping",
-                  StoppingRetryAfter);
+    return refuse(Context, RunState::NeverSent, ResultCode::ShuttingDown,
+                  "stopping", StoppingRetryAfter);
   // Counted before the fiber may be suspended: a stop waits for it.
   ScopedCount Counted(InFlight);
   if (CallerTeam && Quota) {
@@ -354,11 +369,12 @@
   return At == MonotonicTime::max() ? Duration(0) : At - Now;
 }
 
-HttpResponse EntryService::serveSingle(const RequestContext &Context) {
+CallerAnswer EntryService::serveSingle(const RequestContext &Context) {
   const ServiceId *Service =
       RoundRobins[Context.MatchedRoute.Id].next(Context.MatchedRoute.Targets);
   if (!Service)
-    return refuse(Context, ResultCode::NoBackend, "no_target",
+    return refuse(Context, RunState::NeverSent, ResultCode::NoBackend,
+                  "no_target",
                   retryAfter(CallReason::Unavailable, Duration(0), Rng));
   SingleObserver Observer;
   CallCleanup Cleanup(Scheduler, *Context.Caller, Loop);
@@ -383,23 +399,26 @@
                        " server=" + R.Server.text() +
                        " sends=" + std::to_string(R.Attempts) +
                        " reason=" + callReasonName(R.Reason);
+  RunState State = runStateOf(R);
   switch (R.Outcome) {
   case CallOutcome::Answered: {
     recordOutcome(Context, R.Answer.success() ? "answered" : "backend_failure",
                   Detail + " status=" + std::to_string(R.Answer.Status));
     // A body in an encoding that was not requested is invalid.
     if (R.Answer.UnexpectedEncoding)
-      return encodeFailure(502, {ResultCode::BadBackendReply, "encoded"});
+      return {State,
+              encodeFailure(502, {ResultCode::BadBackendReply, "encoded"})};
     if (R.Answer.Status >= 200 && R.Answer.Status < 300 &&
         R.Answer.Signature.empty())
-      return encodeFailure(502, {ResultCode::BadBackendReply, "unsigned"});
+      return {State,
+              encodeFailure(502, {ResultCode::BadBackendReply, "unsigned"})};
     HttpResponse Out = encodeForwardedAnswer(R.Answer);
     Out.OmitBody = Context.Request->IsHeadRequest;
-    return Out;
+    return {State, std::move(Out)};
   }
   case CallOutcome::NotRun:
     return refuse(
-        Context, ResultCode::Overloaded, callReasonName(R.Reason),
+        Context, State, ResultCode::Overloaded, callReasonName(R.Reason),
         retryAfter(R.Reason, availableIn(Context, *Service), Rng),
         R.Reason == CallReason::HeldBack ? describeHeldBack({*Service}) : "");
   case CallOutcome::Unknown:
@@ -452,7 +471,7 @@
   return Out;
 }
 
-std::optional<HttpResponse>
+std::optional<CallerAnswer>
 EntryService::refuseGather(const RequestContext &Context) {
   MonotonicTime Now = Loop.now();
   const Route &Matched = Context.MatchedRoute;
@@ -474,14 +493,14 @@
   if (Forecast.Obstacle == CallReason::None)
     return std::nullopt;
   return refuse(
-      Context,
+      Context, RunState::NeverSent,
       Forecast.Obstacle == CallReason::Unavailable ? ResultCode::NoBackend
                                                    : ResultCode::Overloaded,
       std::string("shards_") + callReasonName(Forecast.Obstacle),
       retryAfter(Forecast.Obstacle, Forecast.AvailableIn, Rng), Detail);
 }
 
-HttpResponse EntryService::serveGather(const RequestContext &Context) {
+CallerAnswer EntryService::serveGather(const RequestContext &Context) {
   if (auto Refusal = refuseGather(Context))
     return std::move(*Refusal);
   MonotonicTime Now = Loop.now();
@@ -530,11 +549,12 @@
   if (Decision == GatherDecision::Answer) {
     recordOutcome(Context, Query.missingShards() ? "partial" : "answered",
                   Detail);
-    return encodeMergedAnswer(*Context.Request, Query.signatures(),
-                              Query.missingShards(), Query.mergedRecords());
+    return {RunState::HasRun,
+            encodeMergedAnswer(*Context.Request, Query.signatures(),
+                               Query.missingShards(), Query.mergedRecords())};
   }
   if (!MayHaveRun)
-    return refuse(Context, ResultCode::Overloaded,
+    return refuse(Context, RunState::Declined, ResultCode::Overloaded,
                   callReasonName(Query.lastReason()),
                   retryAfter(Query.lastReason(), Duration(0), Rng),
                   describeHeldBack(Observer.HeldBack));
--- a/entry/entry_service.h
+++ b/entry/entry_service.h
@@ -9,6 +9,7 @@
 #define MIMOSA_ENTRY_ENTRY_SERVICE_H
 
 #include "balance/call_scheduler.h"
+#include "entry/answer_validator.h"
 #include "entry/shutdown_plan.h"
 #include "entry/team_quota.h"
 #include "gather/gather_query.h"
@@ -30,7 +31,7 @@
   EntryService(FiberLoop &Loop, CallScheduler &Scheduler, CrashWatch &Crashes,
                MetricsRegistry &Metrics, Random &Rng)
       : Loop(Loop), Scheduler(Scheduler), Crashes(Crashes), Metrics(Metrics),
-        Rng(Rng) {}
+        Rng(Rng), Validator(Metrics) {}
 
   /// Calls \p Callback with each strike that this host records, see
   /// quarantine/crash_watch.h.
@@ -86,13 +87,17 @@
     bool Counted = false;
   };
 
+  /// Serves a request. Sets \p Id as soon as it is known.
+  CallerAnswer serve(const HttpRequest &Request,
+                     const std::shared_ptr<CallerConnection> &Caller,
+                     CallerRequestId &Id);
   /// The caller's team, null if the request needs none, or the response to a
   /// request without a valid key.
   std::variant<const Team *, HttpResponse>
   identifyTeam(const DecodedCallerRequest &Decoded,
                const Route &MatchedRoute) const;
   /// Refuses a request while this host has no configuration.
-  HttpResponse refuseUnconfigured(const DecodedCallerRequest &Decoded) const;
+  CallerAnswer refuseUnconfigured(const DecodedCallerRequest &Decoded) const;
   RequestContext
   makeContext(const DecodedCallerRequest &Decoded, const HttpRequest &Request,
               const Route &MatchedRoute, const Team *CallerTeam,
@@ -102,14 +107,14 @@
   Duration availableIn(const RequestContext &Context,
                        const ServiceId &Service) const;
   /// Refuses a request because the quota of its team is used up.
-  HttpResponse refuseOverQuota(const RequestContext &Context);
+  CallerAnswer refuseOverQuota(const RequestContext &Context);
   /// Gives the request, which has not run, back to the quota of its team.
   void refundQuota(const RequestContext &Context);
-  HttpResponse serveSingle(const RequestContext &Context);
-  HttpResponse serveGather(const RequestContext &Context);
+  CallerAnswer serveSingle(const RequestContext &Context);
+  CallerAnswer serveGather(const RequestContext &Context);
   /// The refusal of a query that cannot be answered in time, before any of its
   /// calls; empty if it may begin.
-  std::optional<HttpResponse> refuseGather(const RequestContext &Context);
+  std::optional<CallerAnswer> refuseGather(const RequestContext &Context);
   static QueryOffer offerOf(const RequestContext &Context);
   /// Cancels the calls of a query that have not ended, and describes them in
   /// \p Unfinished for the log. Returns true if a backend server may have run
@@ -117,20 +122,21 @@
   bool cancelUnfinished(const RequestContext &Context,
                         const std::vector<CallId> &Ids,
                         std::string *Unfinished);
-  /// \p Detail is added to the line of the log.
-  HttpResponse refuse(const RequestContext &Context, ResultCode Code,
-                      const std::string &Reason, Duration RetryAfter,
-                      const std::string &Detail = "");
+  /// Refuses a request that has not run, as \p State says. \p Detail is added
+  /// to the line of the log.
+  CallerAnswer refuse(const RequestContext &Context, RunState State,
+                      ResultCode Code, const std::string &Reason,
+                      Duration RetryAfter, const std::string &Detail = "");
   /// The shards to which a call could only be sent too late, because of what
   /// their backend servers have asked for.
   std::vector<ServiceId> heldBackShards(const RequestContext &Context,
                                         MonotonicTime Now) const;
   /// Which backend servers of \p Services are held back and why, for the log.
   std::string describeHeldBack(const std::vector<ServiceId> &Services) const;
-  HttpResponse fail(const RequestContext &Context, bool TimedOut,
+  CallerAnswer fail(const RequestContext &Context, bool TimedOut,
                     const std::string &Reason);
   /// Returns a response that closes the connection without an answer.
-  HttpResponse closeWithoutAnswer(const RequestContext &Context);
+  CallerAnswer closeWithoutAnswer(const RequestContext &Context);
   void recordCrashes(const RequestContext &Context, const ServiceId &Service,
                      uint32_t Lost, bool Succeeded);
   void recordOutcome(const RequestContext &Context, const char *Outcome,
@@ -143,6 +149,7 @@
   CrashWatch &Crashes;
   MetricsRegistry &Metrics;
   Random &Rng;
+  AnswerValidator Validator;
   TeamQuota *Quota = nullptr;
   std::shared_ptr<const RouteTable> Routes;
   std::optional<Duration> RevocationLimit;
--- /dev/null
+++ b/entry/entry_service_test.cpp
@@ -0,0 +1,227 @@
+// The ends of callers' requests: whatever backend servers do, what a caller is
+// told of its request must be true.
+
+#include "entry/entry_service.h"
+#include "platform/backend_wire.h"
+#include "runtime/child_process_test_util.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace mimosa {
+namespace {
+
+constexpr Duration Timeout = Milliseconds(120);
+/// From the arrival of a request at a backend server until its end.
+constexpr Duration RunTime = Milliseconds(1);
+const std::string StampHeader = "Server-Stamp";
+constexpr int Statuses[] = {200, 204, 206, 300, 304, 400, 401, 403, 404,
+                            408, 409, 413, 421, 425, 429, 431, 500, 501,
+                            502, 503, 504, 505, 507, 511, 599};
+
+/// Statuses that promise that the request has not run and never will.
+bool isPromise(int Status) {
+  return Status == 408 || Status == 421 || Status == 429 || Status == 503;
+}
+
+/// How backend servers end the requests that they get.
+struct Ending {
+  enum class Kind { Answer, Lost, Malformed, NotSent, Silent };
+  Kind How = Kind::Answer;
+  int Status = 0;
+  /// The answer has the header Not-Executed.
+  bool Declines = false;
+  bool HasStamp = true;
+  bool HasId = true;
+
+  bool runs() const {
+    return How != Kind::NotSent && !Declines && Status != 421;
+  }
+  std::string describe() const {
+    return "ending " + std::to_string(static_cast<int>(How)) + ", status " +
+           std::to_string(Status) + (Declines ? ", declined" : "") +
+           (HasStamp ? ", signed" : "") + (HasId ? "" : ", without id");
+  }
+};
+
+/// Backend servers that all end their requests in the same way.
+class ScriptedBackends : public BackendTransport {
+public:
+  explicit ScriptedBackends(FiberLoop &Loop) : Loop(Loop) {}
+
+  void send(AttemptId Id, const BackendServerPtr &, const CallRequest &Request,
+            bool) override {
+    Runs += Script.runs() ? 1 : 0;
+    Loop.spawn([this, Id, Message = Request.Message] {
+      FiberLoop::sleepFor(RunTime);
+      end(Id, *Message);
+    });
+  }
+  void cancel(AttemptId) override {}
+
+  Ending Script;
+  int Runs = 0;
+  CallScheduler *Calls = nullptr;
+
+private:
+  void end(AttemptId Id, const CallerRequest &Request) {
+    switch (Script.How) {
+    case Ending::Kind::Answer:
+      return Calls->onAnswered(Id, answer(Request), Loop.now());
+    case Ending::Kind::Lost:
+      return Calls->onLost(Id, false, Loop.now());
+    case Ending::Kind::Malformed:
+      return Calls->onLost(Id, true, Loop.now());
+    case Ending::Kind::NotSent:
+      return Calls->onNotSent(Id, Loop.now());
+    case Ending::Kind::Silent:
+      break;
+    }
+  }
+
+  BackendAnswer answer(const CallerRequest &Request) const {
+    ReceivedHttpResponse Raw;
+    Raw.Status = Script.Status;
+    Raw.Headers = {{"Retry-After", "0.05"}};
+    if (Script.HasId)
+      Raw.Headers.push_back({"Attempt-Id", Request.Id.text()});
+    if (Script.HasStamp)
+      Raw.Headers.push_back({StampHeader, "signature"});
+    if (Script.Declines)
+      Raw.Headers.push_back({"Not-Executed", "1"});
+    Raw.Body = std::string(RecordBytes, 'x');
+    return decodeBackendAnswer(std::move(Raw), Request.Id).Answer;
+  }
+
+  FiberLoop &Loop;
+};
+
+/// The routes of a service and of a query over two shards.
+std::shared_ptr<const RouteTable> makeRoutes() {
+  RoutingConfig Config;
+  Config.Version = 1;
+  auto AddRoute = [&](const char *Name, bool Idempotent) -> Route & {
+    Route &Out = Config.Routes.emplace_back();
+    Out.Id = RouteId(Name);
+    Out.Host = "h";
+    Out.PathPrefix = std::string("/") + Name + "/";
+    Out.Idempotent = Idempotent;
+    Out.Timeout = Timeout;
+    Out.TargetLatency = Timeout / 2;
+    Out.MaxAttempts = 2;
+    return Out;
+  };
+  AddRoute("once", false).Targets = {{ServiceId("s1"), 1}};
+  AddRoute("safe", true).Targets = {{ServiceId("s1"), 1}};
+  Route &Gather = AddRoute("gather", true);
+  Gather.Shards = {ServiceId("s1"), ServiceId("s2")};
+  Gather.TopK = 1;
+  return std::make_shared<const RouteTable>(std::move(Config));
+}
+
+/// A host with two backend servers of each of two services.
+class TestHost {
+public:
+  explicit TestHost(FiberLoop &Loop)
+      : Backends(Loop), Registry(AvailabilityZoneId("z1"), Rng),
+        Calls(Registry, Backends), Crashes(HostId("h1"), Incarnation(1)),
+        Service(Loop, Calls, Crashes, Metrics, Rng), Loop(Loop) {
+    Backends.Calls = &Calls;
+    Calls.setRetryBudget({0.2, 50, Seconds(10)});
+    Service.setRoutes(makeRoutes());
+    for (const char *Name : {"s1", "s2"}) {
+      Registry.setLimits(ServiceId(Name), 64, 0);
+      for (const char *Suffix : {"a", "b"}) {
+        BackendServerEntry Entry;
+        Entry.Id = BackendServerId(std::string(Name) + Suffix);
+        Entry.Service = ServiceId(Name);
+        Entry.Address = "127.0.0.1:1";
+        Entry.Zone = AvailabilityZoneId("z1");
+        Entry.Slots = 4;
+        Registry.update(Entry, Loop.now());
+      }
+    }
+  }
+
+  HttpResponse request(const std::string &Path, const char *Method = "POST") {
+    HttpRequest Request;
+    Request.Method = Method;
+    Request.Target = Path;
+    Request.Headers = {{"Host", "h"}, {"Attempt-Id", "a1"}};
+    Request.ArrivedAt = Loop.now();
+    std::optional<HttpResponse> Response;
+    Loop.spawn([&] {
+      Response = Service.handle(Request, std::make_shared<CallerConnection>());
+    });
+    while (!Response) {
+      FiberLoop::sleepFor(Milliseconds(1));
+      Calls.onTimer(Loop.now());
+    }
+    return std::move(*Response);
+  }
+
+  SeededRandom Rng{7};
+  ScriptedBackends Backends;
+  ServerRegistry Registry;
+  CallScheduler Calls;
+  CrashWatch Crashes;
+  MetricsRegistry Metrics;
+  EntryService Service;
+  FiberLoop &Loop;
+};
+
+std::vector<Ending> allEndings() {
+  std::vector<Ending> Out;
+  for (int Status : Statuses)
+    for (bool Declines : {false, true})
+      for (bool HasStamp : {false, true})
+        for (bool HasId : {false, true})
+          // A success that states that it has not run contradicts itself.
+          if (!Declines || Status >= 300)
+            Out.push_back(
+                {Ending::Kind::Answer, Status, Declines, HasStamp, HasId});
+  for (Ending::Kind How : {Ending::Kind::Lost, Ending::Kind::Malformed,
+                           Ending::Kind::NotSent, Ending::Kind::Silent})
+    Out.push_back({How});
+  return Out;
+}
+
+void checkResponse(const HttpResponse &Response, const Ending &Script,
+                   bool HasRun) {
+  // 0 closes the connection.
+  EXPECT_TRUE(Response.Status == 0 ||
+              (Response.Status >= 200 && Response.Status < 600));
+  if (isPromise(Response.Status)) {
+    EXPECT_FALSE(HasRun);
+    EXPECT_TRUE(findHeader(Response.Headers, "Retry-After"));
+  }
+  // A caller that may send the request again has to be told so.
+  if (!HasRun) {
+    EXPECT_TRUE(isPromise(Response.Status));
+  }
+  // A signature stands only with the status that was signed.
+  if (findHeader(Response.Headers, StampHeader)) {
+    EXPECT_EQ(Response.Status, Script.Status);
+  }
+}
+
+// Guards against a status that promises that a request has not run, although a
+// backend server has run it, or may have done so.
+TEST(EntryService, PromisesOnlyWhatIsKnownOfARequest) {
+  for (const char *Path : {"/once/", "/safe/", "/gather/"})
+    runInChildProcess([Path](FiberLoop &Loop) {
+      for (const Ending &Script : allEndings()) {
+        SCOPED_TRACE(Path + Script.describe());
+        TestHost Host(Loop);
+        Host.Backends.Script = Script;
+        HttpResponse Response = Host.request(std::string(Path) + "1");
+        checkResponse(Response, Script, Host.Backends.Runs > 0);
+        EXPECT_LE(Host.Backends.Runs, Path == std::string("/once/") ? 1 : 4);
+        Loop.sleepFor(2 * RunTime);
+      }
+    });
+}
+
+} // namespace
+} // namespace mimosa
