Decide whether a response has a body where it is written

Callers that sent HEAD to a removed route got the body of the 404 in place of the response to their next request.

Cause: each builder of a response had to say that it has no body, and the builders of refusals and failures did not.

Change: HttpServerConnection takes the method from the request line, and encodeResponse alone decides about body and Content-Length, also for the refusals of the server itself, 204 and 304. HttpResponse::OmitBody is gone.

--- a/entry/answer_validator.cpp
+++ b/entry/answer_validator.cpp
@@ -58,7 +58,6 @@
       encodeFailure(502, {ResultCode::OutcomeUnknown,
                           "the request ended with status " + Status +
                               ", which would misstate whether it has run"});
-  Out.OmitBody = Response.OmitBody;
   Out.Close = Response.Close;
   return Out;
 }
--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -412,9 +412,7 @@
         R.Answer.Signature.empty())
       return {State,
               encodeFailure(502, {ResultCode::BadBackendReply, "unsigned"})};
-    HttpResponse Out = encodeForwardedAnswer(R.Answer);
-    Out.OmitBody = Context.Request->IsHeadRequest;
-    return {State, std::move(Out)};
+    return {State, encodeForwardedAnswer(R.Answer)};
   }
   case CallOutcome::NotRun:
     return refuse(
--- a/routing/caller_request.h
+++ b/routing/caller_request.h
@@ -58,6 +58,9 @@
   /// The body is encoded, although the request did not accept an encoding.
   bool UnexpectedEncoding = false;
   ServerNotice Notice;
+  /// Stated length of the body, which the answer to a HEAD request does not
+  /// have; empty if there is none.
+  std::optional<uint64_t> ContentLength;
   /// Headers to forward unchanged.
   std::vector<HttpHeader> Headers;
   std::string Body;
--- a/runtime/http.h
+++ b/runtime/http.h
@@ -21,6 +21,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -68,9 +69,10 @@
   std::vector<HttpHeader> Headers;
   /// Whether to close the connection after this response.
   bool Close = false;
-  /// Whether to send Content-Length without the body, as in the response to a
+  /// Content-Length of the response to a HEAD request if Body is empty; not
+  /// sent if it is not known. The server never sends a body in response to a
   /// HEAD request.
-  bool OmitBody = false;
+  std::optional<uint64_t> LengthForHead;
 };
 
 /// Why a caller counts as disconnected.
--- a/runtime/http_server.cpp
+++ b/runtime/http_server.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <netinet/tcp.h>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <sys/socket.h>
@@ -54,7 +55,26 @@
           {{"Retry-After", MemoryRetryAfter}}};
 }
 
-std::string encodeResponse(const HttpResponse &Response, bool KeepAlive) {
+/// Whether a response has a body, whatever was made for it (RFC 9110, 6.4.1).
+bool hasBody(int Status, bool AnswersHead) {
+  return !AnswersHead && Status != 204 && Status != 304;
+}
+
+/// The value of Content-Length; empty if the header is not sent. The response
+/// to a HEAD request states the length of the body that a GET request would get
+/// (RFC 9110, 8.6).
+std::optional<uint64_t> contentLength(const HttpResponse &Response,
+                                      bool AnswersHead) {
+  if (hasBody(Response.Status, AnswersHead))
+    return Response.Body.size();
+  if (!hasBody(Response.Status, false))
+    return std::nullopt;
+  return Response.Body.empty() ? Response.LengthForHead
+                               : std::optional<uint64_t>(Response.Body.size());
+}
+
+std::string encodeResponse(const HttpResponse &Response, bool AnswersHead,
+                           bool KeepAlive) {
   auto Reason =
       http::obsolete_reason(static_cast<http::status>(Response.Status));
   std::string Out = "HTTP/1.1 " + std::to_string(Response.Status) + " ";
@@ -66,11 +86,10 @@
     Out.append(H.Name).append(": ").append(H.Value).append("\r\n");
   if (!KeepAlive)
     Out += "Connection: close\r\n";
-  // A response without content has no Content-Length (RFC 9110, 8.6).
-  if (Response.Status != 204 && Response.Status != 304)
-    Out += "Content-Length: " + std::to_string(Response.Body.size()) + "\r\n";
+  if (auto Length = contentLength(Response, AnswersHead))
+    Out += "Content-Length: " + std::to_string(*Length) + "\r\n";
   Out += "\r\n";
-  if (!Response.OmitBody)
+  if (hasBody(Response.Status, AnswersHead))
     Out += Response.Body;
   return Out;
 }
@@ -136,6 +155,8 @@
   bool awaitFirstByte();
   bool readRequest(RequestParser &Parser);
   bool parse(RequestParser &Parser, error_code &Failure);
+  /// Whether a HEAD request is being received, as far as it is known.
+  bool receivesHead(const RequestParser &Parser) const;
   bool refuse(error_code Failure);
   bool refuseSlowSender();
   bool refuseBody(RequestParser &Parser);
@@ -187,6 +208,8 @@
   RequestParser *CurrentParser = nullptr;
   /// Whether a request has begun to arrive and is not handled yet.
   bool Receiving = false;
+  /// Whether the request that is being received or answered is a HEAD request.
+  bool AnswersHead = false;
   /// When the latest bytes were ready to be read.
   MonotonicTime ReadableAt;
   /// When the first byte of the request was ready to be read, which may be long
@@ -220,8 +243,9 @@
   // socket takes it, and may be lost if the caller is still sending.
   error_code Ignored;
   if (Receiving)
-    Socket.write_some(asio::buffer(encodeResponse(memoryRefusal(), false)),
-                      Ignored);
+    Socket.write_some(
+        asio::buffer(encodeResponse(memoryRefusal(), AnswersHead, false)),
+        Ignored);
   // Frees the memory now: many connections may be evicted before the fiber of
   // this one runs, which waits for bytes or for room to write.
   if (CurrentParser)
@@ -319,6 +343,7 @@
       Buffer.size() > 0 ||
       readMore(Loop.now() + Options.IdleTimeout) == ReadResult::Bytes;
   LatestCaller.reset();
+  AnswersHead = false;
   ArrivedAt = ReadableAt;
   Receiving = Received;
   Account->restart(Loop.now());
@@ -372,7 +397,7 @@
                                "the answer has an undefined status"})},
                    KeepAlive);
   }
-  std::string Bytes = encodeResponse(Response, KeepAlive);
+  std::string Bytes = encodeResponse(Response, AnswersHead, KeepAlive);
   // The answer exists only once while it is sent.
   Response = HttpResponse();
   return writeAll(std::move(Bytes)) && KeepAlive;
@@ -507,8 +532,19 @@
               BodyCopies * Request.Body.capacity());
 }
 
+bool HttpServerConnection::receivesHead(const RequestParser &Parser) const {
+  if (!Parser.get().method_string().empty())
+    return Parser.get().method() == http::verb::head;
+  // The parser may refuse a head before it parses the request line.
+  constexpr std::string_view Begin = "HEAD ";
+  std::string_view Text(static_cast<const char *>(Buffer.data().data()),
+                        Buffer.size());
+  return Text.substr(0, Begin.size()) == Begin;
+}
+
 bool HttpServerConnection::parse(RequestParser &Parser, error_code &Failure) {
   bool InHead = !Parser.is_header_done();
+  AnswersHead = receivesHead(Parser);
   size_t Consumed = putBytes(Parser, Buffer.data(), Failure);
   if (InHead)
     ParsedLines += countHeadLines(Consumed);
