--- a/runtime/http_server.cpp
+++ b/runtime/http_server.cpp
@@ -577,7 +577,9 @@
       return refuseBody(Parser);
     if (!holdForParser(Parser))
       return refuseForMemory(Parser);
+    // HTTP/1.0 has no interim responses.
     if (Parser.is_header_done() && !ContinueSent &&
+        Parser.get().version() >= 11 &&
         Parser.get().find(http::field::expect) != Parser.get().end()) {
       ContinueSent = true;
       if (!writeAll("HTTP/1.1 100 Continue\r\n\r\n"))
@@ -630,7 +632,9 @@
   Request.ConnectionId = Id;
   Request.RoundTrip = roundTrip();
   Request.NewConnection = !std::exchange(HasServedRequest, true);
-  bool WantsKeepAlive = Message.keep_alive();
+  // Responses are of HTTP/1.1, whose rules for kept connections callers of
+  // HTTP/1.0 do not know.
+  bool WantsKeepAlive = Message.keep_alive() && Message.version() >= 11;
   // The fields exist only once while the request runs.
   Message = decltype(Message)();
   if (Request.Body.capacity() > 2 * Request.Body.size())
--- a/runtime/response_framing_test.cpp
+++ b/runtime/response_framing_test.cpp
@@ -216,5 +216,21 @@
   });
 }
 
+// Guards against interim responses and kept connections that callers of
+// HTTP/1.0 do not know.
+TEST(ResponseFraming, CallersOfHttp10GetOneResponseAndTheEnd) {
+  withServer([](HttpServer &, StatusHandler &) {
+    RawCaller Caller;
+    Caller.write("POST /200 HTTP/1.0\r\nConnection: keep-alive\r\n"
+                 "Expect: 100-continue\r\nContent-Length: 1\r\n\r\n");
+    EXPECT_EQ(Caller.read(Milliseconds(20)), "");
+    Caller.write("x");
+    std::string Received = Caller.read();
+    EXPECT_TRUE(contains(Received, "HTTP/1.1 200"));
+    EXPECT_TRUE(contains(Received, "Connection: close\r\n"));
+    EXPECT_TRUE(Caller.isClosed());
+  });
+}
+
 } // namespace
 } // namespace mimosa
