Derive quota, Retry-After and signatures from the run state

A request of a team that has not run was given back to its quota in three places, each with a condition of its own; now in one, from the state with which the request ends. AnswerValidator also removes Retry-After from responses to requests that may have run, since a backend server means it for this host, and signatures from those that have not.

--- a/entry/answer_validator.cpp
+++ b/entry/answer_validator.cpp
@@ -44,8 +44,13 @@
 HttpResponse AnswerValidator::validate(CallerAnswer Answer,
                                        const CallerRequestId &Id) {
   HttpResponse &Response = Answer.Response;
-  if (isTrue(Answer.State, Response.Status))
+  if (isTrue(Answer.State, Response.Status)) {
+    if (hasNotRun(Answer.State))
+      removeSignatures(Response);
+    else
+      removeRetryAfter(Response);
     return std::move(Response);
+  }
   std::string Status = std::to_string(Response.Status);
   std::string State = runStateName(Answer.State);
   Metrics
--- a/entry/answer_validator.h
+++ b/entry/answer_validator.h
@@ -16,11 +16,17 @@
 //   answered otherwise                           MayHaveRun     any but 2xx and
 //                                                               promises
 //   lost, malformed answer, deadline             MayHaveRun     502, 504
+//   left by its caller                           any            none
 //
 // 408, 421, 429 and 503 are promises that the request has not run and never
 // will. A backend server may use them, too, for a failure after it has run the
-// request; its caller gets a 502. A response that takes the place of a backend
-// server's has no signature.
+// request; its caller gets a 502.
+//
+// What else follows from the run state: a request that has not run is given
+// back to the quota of its team, and its response has no signature. The
+// response to any other request has no Retry-After: what a backend server says
+// there is for how long it wants no request from this host, and others may
+// serve the caller at once.
 //
 // Requests that have not been read completely end in HttpServer, which passes
 // none of them to its handler.
@@ -63,8 +69,9 @@
 public:
   explicit AnswerValidator(MetricsRegistry &Metrics) : Metrics(Metrics) {}
 
-  /// Returns the response of \p Answer if it is true of the request \p Id, and
-  /// a 502 with the code outcome_unknown otherwise.
+  /// Returns the response of \p Answer if its status is true of the request
+  /// \p Id, and a 502 with the code outcome_unknown otherwise. Removes headers
+  /// that do not hold for the request.
   HttpResponse validate(CallerAnswer Answer, const CallerRequestId &Id);
 
 private:
--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -190,7 +190,6 @@
                                   ResultCode Code, const std::string &Reason,
                                   Duration RetryAfter,
                                   const std::string &Detail) {
-  refundQuota(Context);
   // Whatever keeps this host from serving the request, another one may serve
   // it.
   if (Shutdown)
@@ -211,11 +210,6 @@
           encodeQuotaRefusal({ResultCode::QuotaExceeded, "quota"}, RetryAfter)};
 }
 
-void EntryService::refundQuota(const RequestContext &Context) {
-  if (Context.Counted)
-    Quota->refund(Context.CallerTeam->Id);
-}
-
 CallerAnswer EntryService::fail(const RequestContext &Context, bool TimedOut,
                                 const std::string &Reason) {
   recordOutcome(Context, TimedOut ? "timeout" : "lost", Reason);
@@ -224,9 +218,11 @@
                    : encodeFailure(502, {ResultCode::OutcomeUnknown, Reason})};
 }
 
-CallerAnswer EntryService::closeWithoutAnswer(const RequestContext &Context) {
+CallerAnswer EntryService::closeWithoutAnswer(const RequestContext &Context,
+                                              bool MayHaveRun) {
   recordOutcome(Context, "caller_left", "");
   CallerAnswer Out;
+  Out.State = MayHaveRun ? RunState::MayHaveRun : RunState::Declined;
   Out.Response.Status = 0;
   return Out;
 }
@@ -355,9 +351,12 @@
   if (CallerTeam && Quota) {
     if (!Quota->admit(CallerTeam->Id, Context.Times.Deadline))
       return refuseOverQuota(Context);
-    Context.Counted = true;
   }
-  return MatchedRoute->isGather() ? serveGather(Context) : serveSingle(Context);
+  CallerAnswer Answer =
+      MatchedRoute->isGather() ? serveGather(Context) : serveSingle(Context);
+  if (CallerTeam && Quota && hasNotRun(Answer.State))
+    Quota->refund(CallerTeam->Id);
+  return Answer;
 }
 
 Duration EntryService::availableIn(const RequestContext &Context,
@@ -387,11 +386,8 @@
   Observer.Ended.wait();
   Context.Caller->onDisconnect(nullptr);
   Cleanup.finished();
-  if (!Observer.Result) {
-    if (!Scheduler.cancel(Id, true, Loop.now()))
-      refundQuota(Context);
-    return closeWithoutAnswer(Context);
-  }
+  if (!Observer.Result)
+    return closeWithoutAnswer(Context, Scheduler.cancel(Id, true, Loop.now()));
   CallResult &R = *Observer.Result;
   recordCrashes(Context, *Service, R.LostAttempts,
                 R.Outcome == CallOutcome::Answered);
@@ -529,11 +525,8 @@
   recordCrashes(Context, Context.MatchedRoute.Shards.front(),
                 Query.lostAttempts(),
                 Query.missingShards() < Query.totalShards());
-  if (Context.Caller->disconnected()) {
-    if (!MayHaveRun)
-      refundQuota(Context);
-    return closeWithoutAnswer(Context);
-  }
+  if (Context.Caller->disconnected())
+    return closeWithoutAnswer(Context, MayHaveRun);
   QueryOffer Offer = offerOf(Context);
   if (Context.Times.PartialFrom - Context.ArrivedAt >= Offer.UsefulTime)
     Admission.recordProgress(
--- a/entry/entry_service.h
+++ b/entry/entry_service.h
@@ -83,8 +83,6 @@
     MonotonicTime ArrivedAt;
     GatherTimes Times;
     Fingerprint RequestFingerprint;
-    /// The request is counted in the quota of its team.
-    bool Counted = false;
   };
 
   /// Serves a request. Sets \p Id as soon as it is known.
@@ -108,8 +106,6 @@
                        const ServiceId &Service) const;
   /// Refuses a request because the quota of its team is used up.
   CallerAnswer refuseOverQuota(const RequestContext &Context);
-  /// Gives the request, which has not run, back to the quota of its team.
-  void refundQuota(const RequestContext &Context);
   CallerAnswer serveSingle(const RequestContext &Context);
   CallerAnswer serveGather(const RequestContext &Context);
   /// The refusal of a query that cannot be answered in time, before any of its
@@ -136,7 +132,8 @@
   CallerAnswer fail(const RequestContext &Context, bool TimedOut,
                     const std::string &Reason);
   /// Returns a response that closes the connection without an answer.
-  CallerAnswer closeWithoutAnswer(const RequestContext &Context);
+  CallerAnswer closeWithoutAnswer(const RequestContext &Context,
+                                  bool MayHaveRun);
   void recordCrashes(const RequestContext &Context, const ServiceId &Service,
                      uint32_t Lost, bool Succeeded);
   void recordOutcome(const RequestContext &Context, const char *Outcome,
--- a/entry/entry_service_test.cpp
+++ b/entry/entry_service_test.cpp
@@ -194,8 +194,11 @@
               (Response.Status >= 200 && Response.Status < 600));
   if (isPromise(Response.Status)) {
     EXPECT_FALSE(HasRun);
-    EXPECT_TRUE(findHeader(Response.Headers, "Retry-After"));
+    EXPECT_FALSE(findHeader(Response.Headers, StampHeader));
   }
+  // That of a backend server is not meant for callers.
+  EXPECT_EQ(findHeader(Response.Headers, "Retry-After") != nullptr,
+            isPromise(Response.Status));
   // A caller that may send the request again has to be told so.
   if (!HasRun) {
     EXPECT_TRUE(isPromise(Response.Status));
