Withdraw strikes of requests that are answered

After two lost answers a request was refused for all callers for ten minutes, although equal requests were answered before, in between and after.

Cause: CrashWatch counted each loss and no answer.

Change: an answer withdraws the earlier strikes of its request and service at this host, and at the others by a frame and in the reports of the exchange of strikes. Up to three losses in a row within 60 s of an answer are no strikes. A request that crashes each backend server is never answered, so it is refused after two strikes as before. A strike states its own age, so that it is not counted after a later answer.

Evidence: EntryService.AnsweredRequestsAreNotQuarantinedForLostAnswers failed before and passes now.

--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -127,6 +127,8 @@
                              [this] { return Feed.cacheAge(); });
   Service.setRefuseCongested(Options.RefuseCongested);
   Service.onStrike([this](const StrikeNotice &N) { Sharing.broadcast(N); });
+  Service.onWithdrawal(
+      [this](const StrikeWithdrawal &W) { Sharing.broadcast(W); });
   Service.setQuota(Quota);
   Scheduler.onEarlierWakeUp([this] { TimerChanged.set(); });
   if (!Options.MetricsAddress.empty())
--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -165,6 +165,18 @@
 void EntryService::recordCrashes(const RequestContext &Context,
                                  const ServiceId &Service, uint32_t Lost,
                                  bool Succeeded) {
+  if (Succeeded && Lost == 0) {
+    auto Withdrawal =
+        Crashes.recordAnswer(Context.RequestFingerprint, Service, Loop.now());
+    if (!Withdrawal)
+      return;
+    logRequest("request", "event=strikes_withdrawn request=" +
+                              requestIdText(*Context.Request) +
+                              " service=" + Service.text());
+    if (WithdrawalCallback)
+      WithdrawalCallback(*Withdrawal);
+    return;
+  }
   auto Strike = Crashes.recordAttempt(Context.RequestFingerprint, Service, Lost,
                                       Succeeded, Loop.now());
   if (!Strike)
--- a/entry/entry_service.h
+++ b/entry/entry_service.h
@@ -39,6 +39,11 @@
     StrikeCallback = std::move(Callback);
   }
 
+  /// Calls \p Callback when an answer withdraws strikes of its request.
+  void onWithdrawal(std::function<void(const StrikeWithdrawal &)> Callback) {
+    WithdrawalCallback = std::move(Callback);
+  }
+
   /// Requests of teams are subject to \p NewQuota, which must outlive this.
   void setQuota(TeamQuota &NewQuota) { Quota = &NewQuota; }
 
@@ -155,6 +160,7 @@
   QueryAdmission Admission;
   bool RefuseCongested = false;
   std::function<void(const StrikeNotice &)> StrikeCallback;
+  std::function<void(const StrikeWithdrawal &)> WithdrawalCallback;
   /// Set while the host is stopping.
   std::optional<ShutdownPlan> Shutdown;
   size_t InFlight = 0;
--- a/entry/entry_service_test.cpp
+++ b/entry/entry_service_test.cpp
@@ -226,5 +226,41 @@
     });
 }
 
+// Guards against a request that all callers send, and that is refused for
+// minutes because a few answers to it were lost (review case 14).
+TEST(EntryService, AnsweredRequestsAreNotQuarantinedForLostAnswers) {
+  runInChildProcess([](FiberLoop &Loop) {
+    TestHost Host(Loop);
+    const Ending Answer{Ending::Kind::Answer, 200};
+    const Ending Loss{Ending::Kind::Lost};
+    for (const Ending &Each :
+         {Answer, Loss, Answer, Loss, Loss, Answer, Loss, Answer}) {
+      Host.Backends.Script = Each;
+      int Status = Host.request("/once/popular").Status;
+      EXPECT_EQ(Status, Each.How == Ending::Kind::Lost ? 502 : 200);
+    }
+  });
+}
+
+// Guards against a request that crashes one backend server after the other,
+// also if it was answered before.
+TEST(EntryService, RequestsThatCrashBackendServersAreQuarantined) {
+  for (int Answers : {0, 3})
+    runInChildProcess([Answers](FiberLoop &Loop) {
+      TestHost Host(Loop);
+      Host.Backends.Script = {Ending::Kind::Answer, 200};
+      for (int I = 0; I < Answers; ++I)
+        EXPECT_EQ(Host.request("/once/bad").Status, 200);
+      Host.Backends.Script = {Ending::Kind::Lost};
+      Host.Backends.Runs = 0;
+      for (int I = 0; I < 10; ++I) {
+        Host.request("/once/bad");
+        FiberLoop::sleepFor(Milliseconds(60));
+      }
+      EXPECT_EQ(Host.Backends.Runs, Answers > 0 ? 5 : 2);
+      EXPECT_EQ(Host.request("/once/bad").Status, 503);
+    });
+}
+
 } // namespace
 } // namespace mimosa
--- a/quarantine/crash_watch.cpp
+++ b/quarantine/crash_watch.cpp
@@ -26,7 +26,8 @@
 CrashWatch::recordAttempt(Fingerprint RequestFingerprint,
                           const ServiceId &Service, uint32_t LostAttempts,
                           bool Succeeded, MonotonicTime Now) {
-  if (LostAttempts == 0 || Succeeded)
+  if (LostAttempts == 0 || Succeeded ||
+      Answered.excuseLoss(RequestFingerprint, Service, Now))
     return std::nullopt;
   StrikeNotice Notice;
   Notice.Id = {Host, HostIncarnation, ++LastSequence};
@@ -36,4 +37,23 @@
   return Notice;
 }
 
+std::optional<StrikeWithdrawal>
+CrashWatch::recordAnswer(Fingerprint RequestFingerprint,
+                         const ServiceId &Service, MonotonicTime Now) {
+  Answered.recordAnswer(RequestFingerprint, Service, Now);
+  StrikeWithdrawal Out{Service, RequestFingerprint, Duration(0)};
+  return Strikes.withdraw(Out, Now) ? std::optional(Out) : std::nullopt;
+}
+
+bool CrashWatch::strikeReceived(const StrikeNotice &Notice, MonotonicTime Now) {
+  bool Added = Strikes.add(Notice, Now);
+  auto AnsweredAt =
+      Answered.answeredAt(Notice.RequestFingerprint, Notice.Service, Now);
+  if (!Added || !AnsweredAt)
+    return Added;
+  // Kept as withdrawn, so that the hosts that count it learn of the answer.
+  return !Strikes.withdraw(
+      {Notice.Service, Notice.RequestFingerprint, Now - *AnsweredAt}, Now);
+}
+
 } // namespace mimosa
--- a/quarantine/crash_watch.h
+++ b/quarantine/crash_watch.h
@@ -14,10 +14,18 @@
 // quarantine a request. A query that got the results of some of its shards is
 // not a strike, because a lost reply or a crashed backend server affects single
 // shards of harmless queries too.
+//
+// Answers are lost without a crash, too, and a backend server that crashes for
+// another reason loses the answers to many harmless requests. A request that
+// crashes each backend server which runs it is never answered. So an answer
+// withdraws the strikes against its request at all hosts, and a few losses
+// after it are no strikes, see answered_requests.h and
+// docs/design/quarantine.md.
 
 #ifndef MIMOSA_QUARANTINE_CRASH_WATCH_H
 #define MIMOSA_QUARANTINE_CRASH_WATCH_H
 
+#include "quarantine/answered_requests.h"
 #include "quarantine/strike_store.h"
 
 #include <optional>
@@ -48,8 +56,16 @@
                                             const ServiceId &Service,
                                             uint32_t LostAttempts,
                                             bool Succeeded, MonotonicTime Now);
-  bool strikeReceived(const StrikeNotice &Notice, MonotonicTime Now) override {
-    return Strikes.add(Notice, Now);
+  /// Handles a request attempt that a backend server of \p Service has answered
+  /// and that lost no other one. If this withdraws strikes, returns a message
+  /// for the other hosts.
+  std::optional<StrikeWithdrawal> recordAnswer(Fingerprint RequestFingerprint,
+                                               const ServiceId &Service,
+                                               MonotonicTime Now);
+  bool strikeReceived(const StrikeNotice &Notice, MonotonicTime Now) override;
+  void withdrawalReceived(const StrikeWithdrawal &Withdrawal,
+                          MonotonicTime Now) override {
+    Strikes.withdraw(Withdrawal, Now);
   }
   const StrikeStore &strikeStore() const override { return Strikes; }
 
@@ -57,6 +73,7 @@
   HostId Host;
   Incarnation HostIncarnation;
   StrikeStore Strikes;
+  AnsweredRequests Answered;
   uint64_t LastSequence = 0;
 };
 
--- a/quarantine/messages.h
+++ b/quarantine/messages.h
@@ -35,10 +35,22 @@
   StrikeId Id;
   ServiceId Service;
   Fingerprint RequestFingerprint;
-  /// Time since the strike when the notice is sent.
+  /// Time since the last strike of the request when the notice is sent.
   Duration Age{0};
-  MSGPACK_DEFINE_MAP(Id, Service, MSGPACK_NVP("Print", RequestFingerprint),
-                     Age);
+  /// Time since this strike; negative if it is Age.
+  Duration OwnAge{-1};
+  MSGPACK_DEFINE_MAP(Id, Service, MSGPACK_NVP("Print", RequestFingerprint), Age,
+                     OwnAge);
+};
+
+/// Message 33: a backend server has answered a request that had strikes, so
+/// that these do not show that it crashes the backend servers of the service.
+struct StrikeWithdrawal {
+  ServiceId Service;
+  Fingerprint RequestFingerprint;
+  /// Time since the answer when the message is sent.
+  Duration Age{0};
+  MSGPACK_DEFINE_MAP(Service, MSGPACK_NVP("Print", RequestFingerprint), Age);
 };
 
 /// Message 23: \c Sender has counted the strike.
@@ -69,11 +81,12 @@
   MSGPACK_DEFINE_MAP(Scope, Digest);
 };
 
-/// Message 29: the strikes that a host has counted; empty if the digests are
-/// equal.
+/// Message 29: the strikes that a host has counted and withdrawn; empty if the
+/// digests are equal.
 struct StrikeReport {
   std::vector<StrikeNotice> Strikes;
-  MSGPACK_DEFINE_MAP(Strikes);
+  std::vector<StrikeWithdrawal> Withdrawals;
+  MSGPACK_DEFINE_MAP(Strikes, Withdrawals);
 };
 
 } // namespace mimosa
--- a/quarantine/quarantine_test.cpp
+++ b/quarantine/quarantine_test.cpp
@@ -61,6 +61,65 @@
   EXPECT_TRUE(B.quarantined(Bad, Now));
 }
 
+// Guards against strikes for the answers that a backend server loses when it
+// crashes while it works on many equal requests, and against a request that
+// crashes backend servers for minutes because it was answered before.
+TEST(CrashWatch, FewLossesInARowAreExcusedAfterAnAnswer) {
+  MonotonicTime Now{Seconds(100)};
+  CrashWatch Watch(HostId("a"), Incarnation(1));
+  const ServiceId Popular("s");
+  const Fingerprint Request(7);
+  auto Lose = [&] {
+    return Watch.recordAttempt(Request, Popular, 1, false, Now).has_value();
+  };
+  EXPECT_FALSE(Watch.recordAnswer(Request, Popular, Now));
+  for (int I = 0; I < 20; ++I)
+    EXPECT_FALSE(Lose());
+  Now += Seconds(1);
+  EXPECT_FALSE(Lose());
+  Now += Seconds(1);
+  EXPECT_FALSE(Lose());
+  Now += Seconds(1);
+  EXPECT_TRUE(Lose());
+  EXPECT_TRUE(Watch.recordAnswer(Request, Popular, Now));
+  EXPECT_FALSE(Lose());
+  // Another service may crash where this one does not.
+  EXPECT_TRUE(Watch.recordAttempt(Request, ServiceId("t"), 1, false, Now));
+  // Old evidence does not count.
+  Now += Seconds(60);
+  EXPECT_TRUE(Lose());
+}
+
+// Guards against strikes that come back from a host which has not heard of the
+// answer, or that arrive after it.
+TEST(CrashWatch, AnswersWithdrawEarlierStrikes) {
+  MonotonicTime Now{Seconds(100)};
+  CrashWatch A(HostId("a"), Incarnation(1));
+  CrashWatch B(HostId("b"), Incarnation(1));
+  const ServiceId Service("s");
+  const Fingerprint Request(7);
+  auto First = A.recordAttempt(Request, Service, 1, false, Now);
+  auto Second = A.recordAttempt(Request, Service, 1, false, Now);
+  ASSERT_TRUE(First && Second);
+  B.strikeReceived(*First, Now);
+  B.strikeReceived(*Second, Now);
+  EXPECT_TRUE(B.quarantined(Request, Now));
+  // A request that was running meanwhile.
+  Now += Milliseconds(10);
+  auto Withdrawal = A.recordAnswer(Request, Service, Now);
+  ASSERT_TRUE(Withdrawal);
+  EXPECT_FALSE(A.quarantined(Request, Now));
+  B.withdrawalReceived(*Withdrawal, Now);
+  EXPECT_FALSE(B.quarantined(Request, Now));
+  Now += Seconds(90);
+  First->Age = Second->Age = Milliseconds(90010);
+  EXPECT_FALSE(B.strikeReceived(*First, Now));
+  EXPECT_FALSE(A.strikeReceived(*Second, Now));
+  EXPECT_TRUE(A.recordAttempt(Request, Service, 1, false, Now));
+  EXPECT_TRUE(A.recordAttempt(Request, Service, 1, false, Now));
+  EXPECT_TRUE(A.quarantined(Request, Now));
+}
+
 const MonotonicTime Start{Seconds(1000)};
 const ServiceId Service("storm");
 const Fingerprint Bad(13);
--- a/quarantine/strike_exchange.cpp
+++ b/quarantine/strike_exchange.cpp
@@ -18,6 +18,8 @@
 constexpr size_t PartnerCount = 3;
 /// A report takes about 100 bytes for each strike.
 constexpr size_t MaxReportedStrikes = 2048;
+/// Each takes about 50 bytes.
+constexpr size_t MaxReportedWithdrawals = 256;
 
 } // namespace
 
@@ -65,10 +67,13 @@
   Out.Strikes = Store.notices(Query.Scope, Now);
   if (Out.Strikes.size() > MaxReportedStrikes)
     Out.Strikes.resize(MaxReportedStrikes);
+  Out.Withdrawals = Store.withdrawals(MaxReportedWithdrawals, Now);
   return Out;
 }
 
 size_t StrikeExchange::apply(const StrikeReport &Report, MonotonicTime Now) {
+  for (const StrikeWithdrawal &Each : Report.Withdrawals)
+    Strikes.withdrawalReceived(Each, Now);
   return static_cast<size_t>(
       std::count_if(Report.Strikes.begin(), Report.Strikes.end(),
                     [&](const StrikeNotice &Each) {
--- a/quarantine/strike_exchange.h
+++ b/quarantine/strike_exchange.h
@@ -52,8 +52,8 @@
   std::vector<AddressedStrikeQuery> takeQueries(MonotonicTime Now);
   /// The report for another host's query.
   StrikeReport answer(const StrikeQuery &Query, MonotonicTime Now) const;
-  /// Counts the strikes of \p Report; returns the number of those that were not
-  /// known.
+  /// Withdraws and counts the strikes of \p Report; returns the number of those
+  /// that were not known.
   size_t apply(const StrikeReport &Report, MonotonicTime Now);
 
 private:
--- a/quarantine/strike_exchange_test.cpp
+++ b/quarantine/strike_exchange_test.cpp
@@ -52,11 +52,20 @@
   /// that \p Reaches accepts.
   template <typename Predicate> void strike(size_t I, Predicate Reaches) {
     auto Notice = Hosts[I].Watch->recordAttempt(Bad, Service, 1, false, Now);
-    for (size_t To = 0; To < Hosts.size(); ++To)
+    for (size_t To = 0; Notice && To < Hosts.size(); ++To)
       if (To != I && Hosts[To].Running && Reaches(To))
         Hosts[To].Watch->strikeReceived(*Notice, Now);
   }
 
+  /// A backend server answers the request at host \p I, which tells the others
+  /// that \p Reaches accepts of strikes that this withdraws.
+  template <typename Predicate> void answer(size_t I, Predicate Reaches) {
+    auto Withdrawal = Hosts[I].Watch->recordAnswer(Bad, Service, Now);
+    for (size_t To = 0; Withdrawal && To < Hosts.size(); ++To)
+      if (To != I && Hosts[To].Running && Reaches(To))
+        Hosts[To].Watch->withdrawalReceived(*Withdrawal, Now);
+  }
+
   void advance(Duration Time) {
     for (MonotonicTime End = Now + Time; Now < End;) {
       Now += StrikeExchange::QueryInterval;
@@ -160,6 +169,20 @@
     EXPECT_TRUE(Hosts.quarantined(I)) << I;
 }
 
+// Guards against a host that refuses a request for minutes, since it has not
+// heard that another one has got an answer to it.
+TEST(StrikeExchange, HostsLearnOfWithdrawals) {
+  SimulatedHosts Hosts(6);
+  Hosts.strike(0, ReachesAll);
+  Hosts.strike(1, ReachesAll);
+  Hosts.answer(2, [](size_t To) { return To > 2; });
+  Hosts.advance(ContactTime);
+  Hosts.restart(3);
+  Hosts.advance(ContactTime);
+  for (size_t I = 0; I < Hosts.size(); ++I)
+    EXPECT_FALSE(Hosts.quarantined(I)) << I;
+}
+
 // Guards against an exchange that costs much when there is nothing to tell, or
 // more with each host.
 TEST(StrikeExchange, EqualHostsExchangeNoStrikes) {
@@ -208,7 +231,7 @@
 // Guards against any order of strikes, restarts and suspensions after which
 // hosts differ in what they have quarantined.
 RC_GTEST_PROP(StrikeExchange, HostsAgreeAfterAnyTrouble, ()) {
-  enum Kind { Strike, Restart, Stop, Continue, Wait, KindCount };
+  enum Kind { Strike, Answer, Restart, Stop, Continue, Wait, KindCount };
   SimulatedHosts Hosts(5);
   auto Steps = *rc::gen::container<std::vector<std::pair<int, size_t>>>(
       rc::gen::pair(rc::gen::inRange<int>(0, KindCount),
@@ -221,6 +244,10 @@
       if (Running[Host])
         Hosts.strike(Host, [&](size_t To) { return To != (Host + 1) % 5; });
       break;
+    case Answer:
+      if (Running[Host])
+        Hosts.answer(Host, [&](size_t To) { return To != (Host + 1) % 5; });
+      break;
     case Restart:
       Hosts.restart(Host);
       Running[Host] = true;
--- a/quarantine/strike_sharing.cpp
+++ b/quarantine/strike_sharing.cpp
@@ -51,10 +51,18 @@
     Peers.send(Host, MessageType::StrikeNotice, Body);
 }
 
+void StrikeSharing::broadcast(const StrikeWithdrawal &Withdrawal) {
+  std::string Body = packBody(Withdrawal);
+  for (const HostId &Host : Others)
+    Peers.send(Host, MessageType::StrikeWithdrawal, Body);
+}
+
 bool StrikeSharing::handleFrame(const PeerFrame &Frame,
                                 const PeerReplier &Reply) {
   if (Frame.Type == MessageType::StrikeNotice)
     receiveStrike(Frame);
+  else if (Frame.Type == MessageType::StrikeWithdrawal)
+    receiveWithdrawal(Frame);
   else if (Frame.Type == MessageType::StrikeQuery)
     answerQuery(Frame, Reply);
   else
@@ -71,6 +79,16 @@
             "event=bad_strike reason=\"" + errorOf(Notice).Message + "\"");
 }
 
+void StrikeSharing::receiveWithdrawal(const PeerFrame &Frame) {
+  Result<StrikeWithdrawal> Withdrawal =
+      unpackBody<StrikeWithdrawal>(Frame.Body);
+  if (ok(Withdrawal))
+    Strikes.withdrawalReceived(valueOf(Withdrawal), Loop.now());
+  else
+    logWarn("strikes", "event=bad_strike_withdrawal reason=\"" +
+                           errorOf(Withdrawal).Message + "\"");
+}
+
 void StrikeSharing::answerQuery(const PeerFrame &Frame,
                                 const PeerReplier &Reply) {
   Result<StrikeQuery> Query = unpackBody<StrikeQuery>(Frame.Body);
--- a/quarantine/strike_sharing.h
+++ b/quarantine/strike_sharing.h
@@ -27,12 +27,15 @@
   void setHosts(std::vector<HostId> Others);
   /// Sends a strike of this host to all others.
   void broadcast(const StrikeNotice &Notice);
+  /// Tells all others of an answer to a request with strikes.
+  void broadcast(const StrikeWithdrawal &Withdrawal);
   /// Handles a frame of another host; false if it is not about strikes.
   bool handleFrame(const PeerFrame &Frame, const PeerReplier &Reply);
 
 private:
   void sendQueries();
   void receiveStrike(const PeerFrame &Frame);
+  void receiveWithdrawal(const PeerFrame &Frame);
   void answerQuery(const PeerFrame &Frame, const PeerReplier &Reply);
   void receiveReport(const HostId &From, const Result<PeerFrame> &Reply);
 
--- a/quarantine/strike_store.cpp
+++ b/quarantine/strike_store.cpp
@@ -6,6 +6,13 @@
 
 namespace mimosa {
 
+MonotonicTime StrikeStore::Record::answeredAt(const ServiceId &Service) const {
+  for (const Answer &Each : Answers)
+    if (Each.Service == Service)
+      return Each.At;
+  return MonotonicTime::min();
+}
+
 bool StrikeStore::add(const StrikeNotice &Notice, MonotonicTime Now) {
   Duration Age = std::max(Notice.Age, Duration::zero());
   if (Age >= Lifetime)
@@ -18,19 +25,64 @@
   if (Found == Records.end()) {
     makeRoom(Now);
     Found = Records.emplace(Notice.RequestFingerprint, Record{}).first;
-    Found->second.LastStrike = Now - Age;
+    Found->second.LastChange = Now - Age;
   }
   Record &Target = Found->second;
-  for (const StrikeNotice &Counted : Target.Notices)
-    if (Counted.Id == Notice.Id)
+  for (const Strike &Counted : Target.Strikes)
+    if (Counted.Notice.Id == Notice.Id)
       return false;
-  if (Target.Notices.size() == StrikesToQuarantine)
+  if (Target.Strikes.size() == StrikesToQuarantine)
     return false;
-  Target.Notices.push_back(Notice);
-  Target.LastStrike = std::max(Target.LastStrike, Now - Age);
+  MonotonicTime At =
+      Now - (Notice.OwnAge < Duration::zero() ? Age : Notice.OwnAge);
+  if (At <= Target.answeredAt(Notice.Service))
+    return false;
+  Target.Strikes.push_back({Notice, At});
+  Target.LastChange = std::max(Target.LastChange, Now - Age);
   return true;
 }
 
+bool StrikeStore::withdraw(const StrikeWithdrawal &Withdrawal,
+                           MonotonicTime Now) {
+  auto Found = Records.find(Withdrawal.RequestFingerprint);
+  if (Found == Records.end() || expired(Found->second, Now))
+    return false;
+  Record &Target = Found->second;
+  MonotonicTime At = Now - std::max(Withdrawal.Age, Duration::zero());
+  auto Withdrawn = std::remove_if(
+      Target.Strikes.begin(), Target.Strikes.end(), [&](const Strike &Each) {
+        return Each.Notice.Service == Withdrawal.Service && Each.At <= At;
+      });
+  if (Withdrawn == Target.Strikes.end())
+    return false;
+  Target.Strikes.erase(Withdrawn, Target.Strikes.end());
+  auto Answered = std::find_if(
+      Target.Answers.begin(), Target.Answers.end(),
+      [&](const Answer &A) { return A.Service == Withdrawal.Service; });
+  if (Answered == Target.Answers.end())
+    Target.Answers.push_back({Withdrawal.Service, At});
+  else
+    Answered->At = std::max(Answered->At, At);
+  Target.LastChange = std::max(Target.LastChange, At);
+  return true;
+}
+
+std::vector<StrikeWithdrawal>
+StrikeStore::withdrawals(size_t Limit, MonotonicTime Now) const {
+  std::vector<StrikeWithdrawal> Out;
+  for (const auto &[RequestFingerprint, Entry] : Records)
+    if (!expired(Entry, Now))
+      for (const Answer &Each : Entry.Answers)
+        Out.push_back({Each.Service, RequestFingerprint, Now - Each.At});
+  std::sort(Out.begin(), Out.end(),
+            [](const StrikeWithdrawal &A, const StrikeWithdrawal &B) {
+              return A.Age < B.Age;
+            });
+  if (Out.size() > Limit)
+    Out.resize(Limit);
+  return Out;
+}
+
 void StrikeStore::makeRoom(MonotonicTime Now) {
   if (Records.size() < Capacity)
     return;
@@ -39,7 +91,7 @@
   if (Records.size() < Capacity)
     return;
   auto EvictionOrder = [](const auto &Entry) {
-    return std::make_pair(Entry.second.Notices.size(), Entry.second.LastStrike);
+    return std::make_pair(Entry.second.Strikes.size(), Entry.second.LastChange);
   };
   Records.erase(std::min_element(Records.begin(), Records.end(),
                                  [&](const auto &A, const auto &B) {
@@ -52,7 +104,7 @@
   auto Found = Records.find(RequestFingerprint);
   if (Found == Records.end() || expired(Found->second, Now))
     return 0;
-  return Found->second.Notices.size();
+  return Found->second.Strikes.size();
 }
 
 bool StrikeStore::quarantined(Fingerprint RequestFingerprint,
@@ -63,30 +115,31 @@
 std::vector<StrikeNotice> StrikeStore::notices(StrikeScope Scope,
                                                MonotonicTime Now) const {
   std::vector<const Record *> Ranked;
-  for (const auto &[RequestFingerprint, Strikes] : Records)
-    if (inScope(Strikes, Scope, Now))
-      Ranked.push_back(&Strikes);
+  for (const auto &[RequestFingerprint, Entry] : Records)
+    if (inScope(Entry, Scope, Now))
+      Ranked.push_back(&Entry);
   std::sort(Ranked.begin(), Ranked.end(), [](const Record *A, const Record *B) {
-    return std::make_pair(A->Notices.size(), A->LastStrike) >
-           std::make_pair(B->Notices.size(), B->LastStrike);
+    return std::make_pair(A->Strikes.size(), A->LastChange) >
+           std::make_pair(B->Strikes.size(), B->LastChange);
   });
   std::vector<StrikeNotice> Out;
-  for (const Record *Strikes : Ranked)
-    for (StrikeNotice Notice : Strikes->Notices) {
-      Notice.Age = Now - Strikes->LastStrike;
-      Out.push_back(std::move(Notice));
+  for (const Record *Entry : Ranked)
+    for (const Strike &Each : Entry->Strikes) {
+      Out.push_back(Each.Notice);
+      Out.back().Age = Now - Entry->LastChange;
+      Out.back().OwnAge = Now - Each.At;
     }
   return Out;
 }
 
 uint64_t StrikeStore::digest(StrikeScope Scope, MonotonicTime Now) const {
   uint64_t Digest = 0;
-  for (const auto &[RequestFingerprint, Strikes] : Records) {
-    if (!inScope(Strikes, Scope, Now))
+  for (const auto &[RequestFingerprint, Entry] : Records) {
+    if (!inScope(Entry, Scope, Now))
       continue;
     std::string Key = std::to_string(RequestFingerprint.number());
-    if (!quarantined(Strikes)) {
-      const StrikeId &Id = Strikes.Notices.front().Id;
+    if (!quarantined(Entry)) {
+      const StrikeId &Id = Entry.Strikes.front().Notice.Id;
       Key += "/" + Id.Host.text() + "/" +
              std::to_string(Id.HostIncarnation.number()) + "/" +
              std::to_string(Id.Sequence);
--- a/quarantine/strike_store.h
+++ b/quarantine/strike_store.h
@@ -1,7 +1,9 @@
 // The unexpired strikes of all fingerprints, in memory. A strike is counted
 // once, however often its notice arrives. The second strike quarantines the
 // fingerprint. The strikes of a fingerprint expire together when the last of
-// them is one lifetime (10 min) old; this ends a quarantine.
+// them is one lifetime (10 min) old; this ends a quarantine. An answer
+// withdraws the earlier strikes of its fingerprint and service, also those that
+// arrive later.
 //
 // The number of fingerprints is bounded. At the bound, the fingerprint with the
 // oldest single strike is dropped; if there is none, the oldest quarantine.
@@ -33,6 +35,10 @@
   /// fingerprint is quarantined already.
   bool add(const StrikeNotice &Notice, MonotonicTime Now);
 
+  /// Removes the strikes that happened before the answer of \p Withdrawal.
+  /// Returns whether there were any.
+  bool withdraw(const StrikeWithdrawal &Withdrawal, MonotonicTime Now);
+
   bool quarantined(Fingerprint RequestFingerprint, MonotonicTime Now) const;
 
   /// Number of strikes against \p RequestFingerprint.
@@ -42,6 +48,10 @@
   /// fingerprints first, and of the latest strikes among equals.
   std::vector<StrikeNotice> notices(StrikeScope Scope, MonotonicTime Now) const;
 
+  /// The withdrawals of at most \p Limit fingerprints, the latest ones first.
+  std::vector<StrikeWithdrawal> withdrawals(size_t Limit,
+                                            MonotonicTime Now) const;
+
   /// Equal for stores that hold the same unexpired strikes in \p Scope. Of a
   /// quarantined fingerprint, it does not matter which strikes they are.
   uint64_t digest(StrikeScope Scope, MonotonicTime Now) const;
@@ -52,23 +62,36 @@
   size_t quarantinedCount(MonotonicTime Now) const;
 
 private:
+  struct Strike {
+    StrikeNotice Notice;
+    MonotonicTime At;
+  };
+  struct Answer {
+    ServiceId Service;
+    MonotonicTime At;
+  };
   struct Record {
-    std::vector<StrikeNotice> Notices;
-    /// When the last strike happened.
-    MonotonicTime LastStrike;
+    std::vector<Strike> Strikes;
+    /// The last answers that withdrew strikes, by service.
+    std::vector<Answer> Answers;
+    /// When the last strike or answer happened.
+    MonotonicTime LastChange;
+
+    /// When the service last gave an answer that withdrew strikes.
+    MonotonicTime answeredAt(const ServiceId &Service) const;
   };
 
-  bool expired(const Record &Strikes, MonotonicTime Now) const {
-    return Now - Strikes.LastStrike >= Lifetime;
+  bool expired(const Record &Entry, MonotonicTime Now) const {
+    return Now - Entry.LastChange >= Lifetime;
   }
-  static bool quarantined(const Record &Strikes) {
-    return Strikes.Notices.size() >= StrikesToQuarantine;
+  static bool quarantined(const Record &Entry) {
+    return Entry.Strikes.size() >= StrikesToQuarantine;
   }
-  /// Whether \p Strikes is unexpired and in \p Scope.
-  bool inScope(const Record &Strikes, StrikeScope Scope,
+  /// Whether \p Entry has unexpired strikes in \p Scope.
+  bool inScope(const Record &Entry, StrikeScope Scope,
                MonotonicTime Now) const {
-    return !expired(Strikes, Now) &&
-           (Scope == StrikeScope::All || quarantined(Strikes));
+    return !expired(Entry, Now) && !Entry.Strikes.empty() &&
+           (Scope == StrikeScope::All || quarantined(Entry));
   }
   /// Drops expired records, or else one record, if the store is full.
   void makeRoom(MonotonicTime Now);
@@ -87,6 +110,9 @@
   /// StrikeStore::add().
   virtual bool strikeReceived(const StrikeNotice &Notice,
                               MonotonicTime Now) = 0;
+  /// Another host has seen an answer to a request with strikes.
+  virtual void withdrawalReceived(const StrikeWithdrawal &Withdrawal,
+                                  MonotonicTime Now) = 0;
 };
 
 } // namespace mimosa
--- a/runtime/peer.h
+++ b/runtime/peer.h
@@ -55,6 +55,7 @@
   Dispatch = 30,
   DispatchReply = 31,
   DispatchCancel = 32,
+  StrikeWithdrawal = 33,
   StoreCacheRequest = 40,
   StoreCacheReply = 41,
   StoreCacheOffer = 42,
