--- a/daemon/mimosad_main.cpp
+++ b/daemon/mimosad_main.cpp
@@ -32,6 +32,7 @@
 } // namespace
 
 int main(int Argc, char **Argv) {
+  mimosa::deferSignals();
   std::optional<int> Exit;
   mimosa::DaemonOptions Options = mimosa::parseDaemonOptions(Argc, Argv, &Exit);
   if (Exit)
--- a/entry/entry_main.cpp
+++ b/entry/entry_main.cpp
@@ -47,6 +47,7 @@
 } // namespace
 
 int main(int Argc, char **Argv) {
+  mimosa::deferSignals();
   std::optional<int> Exit;
   mimosa::EntryOptions Options = mimosa::parseEntryOptions(Argc, Argv, &Exit);
   if (Exit)
--- a/runtime/asio_fiber.h
+++ b/runtime/asio_fiber.h
@@ -77,6 +77,8 @@
   asio::io_context Io{1};
   bool Stopping = false;
   std::function<void()> ReloadCallback;
+  /// SIGHUP has arrived before ReloadCallback was set.
+  bool ReloadPending = false;
   boost::fibers::condition_variable StopRequested;
   boost::fibers::mutex StopMutex;
 };
--- a/runtime/fiber_loop.cpp
+++ b/runtime/fiber_loop.cpp
@@ -4,6 +4,7 @@
 #include "runtime/log.h"
 
 #include <csignal>
+#include <utility>
 
 namespace mimosa {
 
@@ -79,6 +80,27 @@
 
 } // namespace
 
+namespace {
+
+constexpr int StopSignalNumbers[] = {SIGTERM, SIGINT};
+constexpr int ReloadSignalNumber = SIGHUP;
+
+sigset_t handledSignals() {
+  sigset_t Out;
+  sigemptyset(&Out);
+  for (int Number : StopSignalNumbers)
+    sigaddset(&Out, Number);
+  sigaddset(&Out, ReloadSignalNumber);
+  return Out;
+}
+
+} // namespace
+
+void deferSignals() {
+  sigset_t Handled = handledSignals();
+  sigprocmask(SIG_BLOCK, &Handled, nullptr);
+}
+
 FiberLoop::FiberLoop() : State(std::make_unique<Impl>()) {
   // Writing to a connection that the peer has closed must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
@@ -89,28 +111,35 @@
 void FiberLoop::run(const std::function<void()> &Main) {
   boost::fibers::use_scheduling_algorithm<AsioScheduler>(State->Io);
   auto KeepIoRunning = asio::make_work_guard(State->Io);
-  asio::signal_set StopSignals(State->Io, SIGTERM, SIGINT);
+  asio::signal_set StopSignals(State->Io);
+  for (int Number : StopSignalNumbers)
+    StopSignals.add(Number);
   StopSignals.async_wait([this](error_code Failure, int) {
     if (!Failure)
       stop();
   });
   std::function<void()> AwaitReloadSignal;
-  asio::signal_set ReloadSignals(State->Io, SIGHUP);
+  asio::signal_set ReloadSignals(State->Io, ReloadSignalNumber);
   AwaitReloadSignal = [&] {
     ReloadSignals.async_wait([&](error_code Failure, int) {
       if (Failure)
         return;
+      State->ReloadPending = !State->ReloadCallback;
       if (State->ReloadCallback)
         callGuarded("reload", State->ReloadCallback);
       AwaitReloadSignal();
     });
   };
   AwaitReloadSignal();
+  sigset_t Handled = handledSignals();
+  sigprocmask(SIG_UNBLOCK, &Handled, nullptr);
   Main();
 }
 
 void FiberLoop::onReload(std::function<void()> Callback) {
   State->ReloadCallback = std::move(Callback);
+  if (std::exchange(State->ReloadPending, false))
+    callGuarded("reload", State->ReloadCallback);
 }
 
 void FiberLoop::spawn(std::function<void()> Body) {
--- a/runtime/fiber_loop.h
+++ b/runtime/fiber_loop.h
@@ -7,7 +7,9 @@
 //     Loop.waitForStop();
 //   });
 //
-// run() returns when its function returns. SIGTERM and SIGINT call stop().
+// run() returns when its function returns. SIGTERM and SIGINT call stop(). A
+// program calls deferSignals() first, so that a signal during its start does
+// not end it.
 
 #ifndef MIMOSA_RUNTIME_FIBER_LOOP_H
 #define MIMOSA_RUNTIME_FIBER_LOOP_H
@@ -20,6 +22,9 @@
 
 namespace mimosa {
 
+/// Defers the signals that FiberLoop handles until FiberLoop::run().
+void deferSignals();
+
 class FiberLoop : public TimerService {
 public:
   FiberLoop();
@@ -51,7 +56,8 @@
   /// Suspends the calling fiber until stop() or a termination signal.
   void waitForStop();
 
-  /// Sets the callback for SIGHUP, which is handled during run().
+  /// Sets the callback for SIGHUP, which is handled during run(). It is called
+  /// at once if the signal has arrived before.
   void onReload(std::function<void()> Callback);
 
   MonotonicTime now() const override;
