Do not report a request as not sent after a foreign answer

Requests of kind "unsafe" ran twice, or were refused although they had run, when a backend server sent a second copy of an earlier answer without a length, which ends with its connection.

Cause: Channel::onReadable closed the channel with NothingSent after any such answer, also after one that is not that of the request. The scheduler then counted the request as not run.

Change: an answer that is not accepted and ends the connection closes it as Malformed, so that the request counts as one that may have run.

Evidence: BackendConnectionPoolTest.

--- a/entry/backend_connection_pool_test.cpp
+++ b/entry/backend_connection_pool_test.cpp
@@ -408,6 +408,73 @@
   }
 }
 
+/// Backend servers that run each request. On a connection that was used before
+/// they first send a second answer without a length, which ends with the
+/// connection, so that their answer to the request is a part of its body.
+class RepeatingServers {
+public:
+  explicit RepeatingServers(bool SecondAnswerHasId)
+      : SecondAnswerHasId(SecondAnswerHasId) {}
+
+  bool answer(const HostileExchange &Exchange) {
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      ++Runs[Exchange.Id];
+    }
+    if (Exchange.PreviousId.empty())
+      return writeBytes(Exchange, answerTo(Exchange.Id));
+    std::string Second =
+        "HTTP/1.1 200 OK\r\nServer-Stamp: signed\r\n" +
+        (SecondAnswerHasId ? "Attempt-Id: " + Exchange.PreviousId + "\r\n"
+                           : std::string()) +
+        "\r\n" + answerBodyFor(Exchange.PreviousId);
+    writeBytes(Exchange, Second + answerTo(Exchange.Id));
+    return false;
+  }
+
+  int runs(const std::string &Id) {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    return Runs[Id];
+  }
+
+private:
+  const bool SecondAnswerHasId;
+  std::mutex Mutex;
+  std::map<std::string, int> Runs;
+};
+
+// Guards against a second run, or a refusal, of a request whose connection ends
+// with an answer to another one: it counted as not sent (review case 6).
+TEST(BackendConnectionPoolTest, AnswersThatEndTheirConnectionLeaveTheRequest) {
+  static constexpr int Calls = 20;
+  for (bool SecondAnswerHasId : {true, false})
+    for (bool Idempotent : {false, true})
+      runInChildProcess([=](FiberLoop &Loop) {
+        SCOPED_TRACE(SecondAnswerHasId);
+        RepeatingServers Servers(SecondAnswerHasId);
+        auto Script = [&Servers](const HostileExchange &Exchange) {
+          return Servers.answer(Exchange);
+        };
+        HostileLoad Load(Loop, 1, Script, Script);
+        Load.Idempotent = Idempotent;
+        int Unknown = 0;
+        for (int I = 0; I < Calls; ++I) {
+          std::string Id = std::to_string(I);
+          CallResult Result = Load.call(ServiceId("s0"), Id);
+          EXPECT_LE(Servers.runs(Id), Idempotent ? 2 : 1) << Id;
+          EXPECT_FALSE(Result.Outcome == CallOutcome::NotRun &&
+                       Servers.runs(Id) > 0)
+              << Id;
+          if (Result.Outcome == CallOutcome::Answered) {
+            EXPECT_EQ(Result.Answer.Body, answerBodyFor(Id));
+          }
+          Unknown += Result.Outcome == CallOutcome::Unknown ? 1 : 0;
+        }
+        // Requests on connections that were used before.
+        EXPECT_TRUE(Unknown > 0 || Idempotent);
+      });
+}
+
 // Guards against memory for ids that grows as long as a connection is used.
 TEST(BackendConnectionPoolTest, ConnectionsAreReplacedAfterManyRequests) {
   runInChildProcess([](FiberLoop &Loop) {
--- a/runtime/http_channel.cpp
+++ b/runtime/http_channel.cpp
@@ -233,11 +233,12 @@
     return closeWith(ChannelCloseReason::Malformed);
   if (Busy && EndOfStream && Parser->got_some() && !Parser->is_done()) {
     Parser->put_eof(ParseFailure);
-    // A response without a length ends with its connection.
-    if (!ParseFailure && Parser->is_done()) {
-      deliverResponse();
-      return Closed ? void() : closeWith(ChannelCloseReason::NothingSent);
-    }
+    // A response without a length ends with its connection. If it is not that
+    // of the request, no other one can follow, but the request may have run.
+    if (!ParseFailure && Parser->is_done() && !deliverResponse() && !Closed)
+      return closeWith(ChannelCloseReason::Malformed);
+    if (Closed)
+      return;
   }
   if (EndOfStream)
     return closeWith(Busy ? ChannelCloseReason::Lost
