Let the validator alone judge answers without a signature

EntryService still had a check of its own for a success without a signature, which AnswerValidator makes, too; the answer is the same 502.

--- a/entry/answer_validator.h
+++ b/entry/answer_validator.h
@@ -20,7 +20,8 @@
 //
 // 408, 421, 429 and 503 are promises that the request has not run and never
 // will. A backend server may use them, too, for a failure after it has run the
-// request; its caller gets a 502.
+// request; its caller gets a 502. So does the caller of one that answers with
+// success but without its signature, which would prove the run.
 //
 // What else follows from the run state: a request that has not run is given
 // back to the quota of its team, and its response has no signature. The
--- a/entry/entry_service.cpp
+++ b/entry/entry_service.cpp
@@ -416,10 +416,6 @@
     if (R.Answer.UnexpectedEncoding)
       return {State,
               encodeFailure(502, {ResultCode::BadBackendReply, "encoded"})};
-    if (R.Answer.Status >= 200 && R.Answer.Status < 300 &&
-        R.Answer.Signature.empty())
-      return {State,
-              encodeFailure(502, {ResultCode::BadBackendReply, "unsigned"})};
     return {State, encodeForwardedAnswer(R.Answer)};
   }
   case CallOutcome::NotRun:
--- a/quarantine/answered_requests.cpp
+++ b/quarantine/answered_requests.cpp
@@ -2,8 +2,6 @@
 
 #include "base/rendezvous.h"
 
-#include <algorithm>
-
 namespace mimosa {
 
 namespace {
--- a/quarantine/messages.h
+++ b/quarantine/messages.h
@@ -35,9 +35,11 @@
   StrikeId Id;
   ServiceId Service;
   Fingerprint RequestFingerprint;
-  /// Time since the last strike of the request when the notice is sent.
+  /// Time since the strikes of the request last changed when the notice is
+  /// sent: they expire together.
   Duration Age{0};
-  /// Time since this strike; negative if it is Age.
+  /// Time since this strike. Negative if that is Age, as in a notice of a
+  /// strike that has just happened, or of a host that does not know this field.
   Duration OwnAge{-1};
   MSGPACK_DEFINE_MAP(Id, Service, MSGPACK_NVP("Print", RequestFingerprint), Age,
                      OwnAge);
--- a/quarantine/strike_store.h
+++ b/quarantine/strike_store.h
@@ -31,8 +31,8 @@
   StrikeStore(size_t Capacity, Duration Lifetime)
       : Capacity(Capacity), Lifetime(Lifetime) {}
 
-  /// Counts a strike; false if it was already counted, has expired, or the
-  /// fingerprint is quarantined already.
+  /// Counts a strike; false if it was already counted, has expired or was
+  /// withdrawn, or the fingerprint is quarantined already.
   bool add(const StrikeNotice &Notice, MonotonicTime Now);
 
   /// Removes the strikes that happened before the answer of \p Withdrawal.
@@ -48,7 +48,7 @@
   /// fingerprints first, and of the latest strikes among equals.
   std::vector<StrikeNotice> notices(StrikeScope Scope, MonotonicTime Now) const;
 
-  /// The withdrawals of at most \p Limit fingerprints, the latest ones first.
+  /// At most \p Limit withdrawals, the latest ones first.
   std::vector<StrikeWithdrawal> withdrawals(size_t Limit,
                                             MonotonicTime Now) const;
 
@@ -74,7 +74,8 @@
     std::vector<Strike> Strikes;
     /// The last answers that withdrew strikes, by service.
     std::vector<Answer> Answers;
-    /// When the last strike or answer happened.
+    /// When the last strike or answer happened. It may be later than those that
+    /// are known here, since other hosts pass it on with each strike.
     MonotonicTime LastChange;
 
     /// When the service last gave an answer that withdrew strikes.
--- a/runtime/fiber_loop.cpp
+++ b/runtime/fiber_loop.cpp
@@ -78,10 +78,6 @@
       NewTimer.get(), [NewTimer](void *) { NewTimer->cancel(); }));
 }
 
-} // namespace
-
-namespace {
-
 constexpr int StopSignalNumbers[] = {SIGTERM, SIGINT};
 constexpr int ReloadSignalNumber = SIGHUP;
 
--- a/tools/backend_main.cpp
+++ b/tools/backend_main.cpp
@@ -73,6 +73,7 @@
 } // namespace
 
 int main(int Argc, char **Argv) {
+  mimosa::deferSignals();
   ProgramOptions Options;
   mimosa::Settings Parser("mimosa-backend", "stand-ins for backend servers");
   Parser.text("ip", "IP address to listen on", &Options.Ip);
--- a/tools/kv_main.cpp
+++ b/tools/kv_main.cpp
@@ -7,6 +7,7 @@
 #include <cstdio>
 
 int main(int Argc, char **Argv) {
+  mimosa::deferSignals();
   mimosa::HttpServerOptions Options;
   Options.Address = "127.0.0.1:7600";
   Options.MaxBodyBytes = 4 << 20;
