Keep answered requests and known good ones by one bounded map

AnsweredRequests had a table of its own beside KnownGoodSet, which bounds its fingerprints by two generations. A request that is used stays, where a slot was lost to the next request with the same remainder.

--- a/base/base_test.cpp
+++ b/base/base_test.cpp
@@ -1,3 +1,4 @@
+#include "base/generational_map.h"
 #include "base/ids.h"
 #include "base/json_fields.h"
 #include "base/message_codec.h"
@@ -155,5 +156,23 @@
   }
 }
 
+// Guards against a map that grows without bound, or that drops what is used.
+TEST(GenerationalMap, KeepsWhatIsUsed) {
+  GenerationalMap<int, int> Map(8);
+  Map.put(-1, 7);
+  for (int I = 0; I < 100; ++I) {
+    Map.put(I, I);
+    ASSERT_NE(Map.use(-1), nullptr);
+    EXPECT_EQ(*Map.use(-1), 7);
+    EXPECT_LE(Map.size(), 8u);
+  }
+  EXPECT_EQ(Map.use(0), nullptr);
+  ASSERT_NE(Map.use(99), nullptr);
+  Map.put(99, 5);
+  EXPECT_EQ(*Map.use(99), 5);
+  Map.erase(99);
+  EXPECT_EQ(Map.use(99), nullptr);
+}
+
 } // namespace
 } // namespace mimosa
--- a/quarantine/answered_requests.cpp
+++ b/quarantine/answered_requests.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// 256 KB.
-constexpr size_t EntryCount = 8192;
+/// Requests; each takes about 70 bytes.
+constexpr size_t Capacity = 8192;
 /// A request may begin to crash backend servers, for example with a new version
 /// of them. Longer evidence would let it crash more of them.
 constexpr Duration AnswerLifetime = Seconds(60);
@@ -18,50 +18,44 @@
 /// all answers that it was working on.
 constexpr Duration LossInterval = Milliseconds(50);
 
-} // namespace
-
-uint64_t AnsweredRequests::keyOf(Fingerprint RequestFingerprint,
-                                 const ServiceId &Service) {
+uint64_t keyOf(Fingerprint RequestFingerprint, const ServiceId &Service) {
   return hash64(Service.text(), RequestFingerprint.number());
 }
 
-const AnsweredRequests::Entry *AnsweredRequests::find(uint64_t Key,
-                                                      MonotonicTime Now) const {
-  if (Entries.empty())
-    return nullptr;
-  const Entry &Found = Entries[Key % EntryCount];
-  bool Valid = Found.Key == Key && Now - Found.AnsweredAt < AnswerLifetime;
-  return Valid ? &Found : nullptr;
+} // namespace
+
+AnsweredRequests::AnsweredRequests() : Answers(Capacity) {}
+
+AnsweredRequests::Answer *AnsweredRequests::find(Fingerprint RequestFingerprint,
+                                                 const ServiceId &Service,
+                                                 MonotonicTime Now) {
+  Answer *Found = Answers.use(keyOf(RequestFingerprint, Service));
+  return Found && Now - Found->At < AnswerLifetime ? Found : nullptr;
 }
 
 void AnsweredRequests::recordAnswer(Fingerprint RequestFingerprint,
                                     const ServiceId &Service,
                                     MonotonicTime Now) {
-  if (Entries.empty())
-    Entries.resize(EntryCount);
-  uint64_t Key = keyOf(RequestFingerprint, Service);
-  Entries[Key % EntryCount] = {Key, Now, Now, 0};
+  Answers.put(keyOf(RequestFingerprint, Service), {Now});
 }
 
 bool AnsweredRequests::excuseLoss(Fingerprint RequestFingerprint,
                                   const ServiceId &Service, MonotonicTime Now) {
-  uint64_t Key = keyOf(RequestFingerprint, Service);
-  if (!find(Key, Now))
+  Answer *Found = find(RequestFingerprint, Service, Now);
+  if (!Found)
     return false;
-  Entry &Found = Entries[Key % EntryCount];
-  if (Found.Losses == 0 || Now - Found.LastLoss >= LossInterval) {
-    ++Found.Losses;
-    Found.LastLoss = Now;
+  if (Found->Losses == 0 || Now - Found->LastLoss >= LossInterval) {
+    ++Found->Losses;
+    Found->LastLoss = Now;
   }
-  return Found.Losses <= ExcusedLosses;
+  return Found->Losses <= ExcusedLosses;
 }
 
 std::optional<MonotonicTime>
 AnsweredRequests::answeredAt(Fingerprint RequestFingerprint,
-                             const ServiceId &Service,
-                             MonotonicTime Now) const {
-  const Entry *Found = find(keyOf(RequestFingerprint, Service), Now);
-  return Found ? std::optional(Found->AnsweredAt) : std::nullopt;
+                             const ServiceId &Service, MonotonicTime Now) {
+  const Answer *Found = find(RequestFingerprint, Service, Now);
+  return Found ? std::optional(Found->At) : std::nullopt;
 }
 
 } // namespace mimosa
--- a/quarantine/answered_requests.h
+++ b/quarantine/answered_requests.h
@@ -1,25 +1,25 @@
 // The requests that backend servers have answered lately, as evidence that a
 // lost answer to an equal request does not show a crash. It is made for hosts
-// that answer thousands of different requests a second: the table has a fixed
-// size, and an entry is replaced by the next request with its slot. Requests
-// that are repeated often, for which the evidence matters most, are soon in the
-// table again.
+// that answer thousands of different requests a second, and keeps those that
+// are repeated; see base/generational_map.h.
 
 #ifndef MIMOSA_QUARANTINE_ANSWERED_REQUESTS_H
 #define MIMOSA_QUARANTINE_ANSWERED_REQUESTS_H
 
+#include "base/generational_map.h"
 #include "base/time.h"
 #include "quarantine/messages.h"
 
 #include <cstdint>
 #include <optional>
-#include <vector>
 
 namespace mimosa {
 
 /// See the head of this file. The times that are passed in must not decrease.
 class AnsweredRequests {
 public:
+  AnsweredRequests();
+
   /// A backend server of \p Service has answered the request.
   void recordAnswer(Fingerprint RequestFingerprint, const ServiceId &Service,
                     MonotonicTime Now);
@@ -31,24 +31,22 @@
   /// When the request was last answered; empty if that is not known any more.
   std::optional<MonotonicTime> answeredAt(Fingerprint RequestFingerprint,
                                           const ServiceId &Service,
-                                          MonotonicTime Now) const;
+                                          MonotonicTime Now);
 
 private:
-  struct Entry {
-    uint64_t Key = 0;
-    MonotonicTime AnsweredAt;
-    MonotonicTime LastLoss;
-    /// Losses since AnsweredAt.
+  struct Answer {
+    MonotonicTime At;
+    /// Losses since then, and when the last one was counted.
     uint32_t Losses = 0;
+    MonotonicTime LastLoss;
   };
 
-  static uint64_t keyOf(Fingerprint RequestFingerprint,
-                        const ServiceId &Service);
-  /// The entry of the request; null if there is none.
-  const Entry *find(uint64_t Key, MonotonicTime Now) const;
+  /// The last answer to the request; null if it is not known any more.
+  Answer *find(Fingerprint RequestFingerprint, const ServiceId &Service,
+               MonotonicTime Now);
 
-  /// Empty until the first answer.
-  std::vector<Entry> Entries;
+  /// By a hash of fingerprint and service.
+  GenerationalMap<uint64_t, Answer> Answers;
 };
 
 } // namespace mimosa
