Share the raw sockets of tests with the network

Three tests opened loopback connections and two listeners in the same way, each by lines of its own. They use one header now.

--- a/runtime/cut_message_test.cpp
+++ b/runtime/cut_message_test.cpp
@@ -224,16 +224,7 @@
 class RawServer {
 public:
   explicit RawServer(std::string Bytes)
-      : Listener(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t Size = sizeof(Address);
-    auto *Generic = reinterpret_cast<sockaddr *>(&Address);
-    EXPECT_EQ(bind(Listener, Generic, Size), 0);
-    EXPECT_EQ(listen(Listener, 8), 0);
-    EXPECT_EQ(getsockname(Listener, Generic, &Size), 0);
-    Endpoint = "127.0.0.1:" + std::to_string(ntohs(Address.sin_port));
+      : Listener(listenOnLoopback(&Endpoint)) {
     std::thread([Socket = Listener, Bytes = std::move(Bytes)] {
       HostileExchange Exchange;
       while ((Exchange.Socket = accept(Socket, nullptr, nullptr)) >= 0) {
@@ -248,8 +239,8 @@
   const std::string &address() const { return Endpoint; }
 
 private:
-  int Listener;
   std::string Endpoint;
+  int Listener;
 };
 
 /// Counts the messages that it receives.
@@ -269,26 +260,13 @@
 
 const std::string ServerAddress = "127.0.0.1:7391";
 
-/// A blocking socket that is connected to ServerAddress.
-int connectToServer() {
-  sockaddr_in Endpoint{};
-  Endpoint.sin_family = AF_INET;
-  Endpoint.sin_port = htons(7391);
-  Endpoint.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  int Socket = socket(AF_INET, SOCK_STREAM, 0);
-  EXPECT_EQ(connect(Socket, reinterpret_cast<sockaddr *>(&Endpoint),
-                    sizeof(Endpoint)),
-            0);
-  return Socket;
-}
-
 /// Sends each part of \p Message that is not all of it to ServerAddress, on a
 /// new connection or, if \p Before is not empty, after \p Before, and closes
 /// the connection. Returns the number of connections.
 int sendParts(const std::string &Message, const std::string &Before) {
   for (size_t Bytes = 0; Bytes < Message.size(); ++Bytes) {
     HostileExchange Exchange;
-    Exchange.Socket = connectToServer();
+    Exchange.Socket = connectTo(ServerAddress);
     writeBytes(Exchange, Before + Message.substr(0, Bytes));
     shutdown(Exchange.Socket, SHUT_WR);
     // Lets the server read, and answer what precedes the part.
--- a/runtime/hostile_server_test_util.h
+++ b/runtime/hostile_server_test_util.h
@@ -5,13 +5,13 @@
 #ifndef MIMOSA_RUNTIME_HOSTILE_SERVER_TEST_UTIL_H
 #define MIMOSA_RUNTIME_HOSTILE_SERVER_TEST_UTIL_H
 
-#include <arpa/inet.h>
+#include "runtime/loopback_socket_test_util.h"
+
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <functional>
-#include <stdexcept>
 #include <string>
 #include <thread>
 
@@ -69,16 +69,7 @@
 
   /// Listens on a free port of 127.0.0.1.
   explicit HostileServer(const Script &Answer) {
-    int Listener = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t Size = sizeof(Address);
-    auto *Generic = reinterpret_cast<sockaddr *>(&Address);
-    if (bind(Listener, Generic, Size) != 0 || listen(Listener, 64) != 0 ||
-        getsockname(Listener, Generic, &Size) != 0)
-      throw std::runtime_error("cannot listen on 127.0.0.1");
-    Endpoint = "127.0.0.1:" + std::to_string(ntohs(Address.sin_port));
+    int Listener = listenOnLoopback(&Endpoint);
     std::thread([Listener, Answer] {
       while (true) {
         int Socket = accept(Listener, nullptr, nullptr);
--- a/runtime/response_framing_test.cpp
+++ b/runtime/response_framing_test.cpp
@@ -4,16 +4,13 @@
 
 #include "runtime/child_process_test_util.h"
 #include "runtime/http.h"
-
-#include <arpa/inet.h>
-#include <sys/socket.h>
+#include "runtime/loopback_socket_test_util.h"
 
 #include <string>
 
 namespace mimosa {
 namespace {
 
-constexpr uint16_t Port = 18473;
 constexpr const char *Address = "127.0.0.1:18473";
 constexpr Duration RequestTimeout = Milliseconds(60);
 constexpr size_t MaxHeaderBytes = 1024;
@@ -36,15 +33,7 @@
 
 class RawCaller {
 public:
-  RawCaller() : Socket(socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in Endpoint{};
-    Endpoint.sin_family = AF_INET;
-    Endpoint.sin_port = htons(Port);
-    Endpoint.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    EXPECT_EQ(connect(Socket, reinterpret_cast<sockaddr *>(&Endpoint),
-                      sizeof(Endpoint)),
-              0);
-  }
+  RawCaller() : Socket(connectTo(Address)) {}
   ~RawCaller() { close(Socket); }
   RawCaller(const RawCaller &) = delete;
   RawCaller &operator=(const RawCaller &) = delete;
--- a/runtime/runtime_test.cpp
+++ b/runtime/runtime_test.cpp
@@ -3,6 +3,7 @@
 #include "runtime/fiber_loop.h"
 #include "runtime/hostile_server_test_util.h"
 #include "runtime/http.h"
+#include "runtime/loopback_socket_test_util.h"
 #include "runtime/metrics.h"
 #include "runtime/peer.h"
 #include "runtime/settings.h"
@@ -90,21 +91,6 @@
   });
 }
 
-/// Opens a blocking connection to \p Address ("ip:port").
-int connectTo(const std::string &Address) {
-  size_t Colon = Address.rfind(':');
-  sockaddr_in Endpoint{};
-  Endpoint.sin_family = AF_INET;
-  Endpoint.sin_port =
-      htons(static_cast<uint16_t>(std::stoi(Address.substr(Colon + 1))));
-  inet_pton(AF_INET, Address.substr(0, Colon).c_str(), &Endpoint.sin_addr);
-  int Socket = socket(AF_INET, SOCK_STREAM, 0);
-  EXPECT_EQ(connect(Socket, reinterpret_cast<sockaddr *>(&Endpoint),
-                    sizeof(Endpoint)),
-            0);
-  return Socket;
-}
-
 class EchoHandler : public HttpHandler {
 public:
   explicit EchoHandler(FiberLoop &Loop) : Loop(Loop) {}
