Split three long files

How a response is encoded was in the middle of http_server.cpp, the tests of callers' requests and answers in two places of wire_test.cpp, and those of foreign answers among those of the connection pool. Each has a file of its own now.

--- a/runtime/http_server.cpp
+++ b/runtime/http_server.cpp
@@ -1,5 +1,6 @@
 #include "runtime/asio_fiber.h"
 #include "runtime/http.h"
+#include "runtime/http_response_encoder.h"
 #include "runtime/log.h"
 #include "runtime/receive_budget.h"
 #include "runtime/received_body.h"
@@ -9,7 +10,6 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <netinet/tcp.h>
-#include <optional>
 #include <set>
 #include <string_view>
 #include <sys/socket.h>
@@ -55,45 +55,6 @@
           {{"Retry-After", MemoryRetryAfter}}};
 }
 
-/// Whether a response has a body, whatever was made for it (RFC 9110, 6.4.1).
-bool hasBody(int Status, bool AnswersHead) {
-  return !AnswersHead && Status != 204 && Status != 304;
-}
-
-/// The value of Content-Length; empty if the header is not sent. The response
-/// to a HEAD request states the length of the body that a GET request would get
-/// (RFC 9110, 8.6).
-std::optional<uint64_t> contentLength(const HttpResponse &Response,
-                                      bool AnswersHead) {
-  if (hasBody(Response.Status, AnswersHead))
-    return Response.Body.size();
-  if (!hasBody(Response.Status, false))
-    return std::nullopt;
-  return Response.Body.empty() ? Response.LengthForHead
-                               : std::optional<uint64_t>(Response.Body.size());
-}
-
-std::string encodeResponse(const HttpResponse &Response, bool AnswersHead,
-                           bool KeepAlive) {
-  auto Reason =
-      http::obsolete_reason(static_cast<http::status>(Response.Status));
-  std::string Out = "HTTP/1.1 " + std::to_string(Response.Status) + " ";
-  Out.reserve(256 + Response.Body.size());
-  Out.append(Reason.data(), Reason.size()).append("\r\n");
-  if (!findHeader(Response.Headers, "Content-Type"))
-    Out.append("Content-Type: ").append(Response.ContentType).append("\r\n");
-  for (const HttpHeader &H : Response.Headers)
-    Out.append(H.Name).append(": ").append(H.Value).append("\r\n");
-  if (!KeepAlive)
-    Out += "Connection: close\r\n";
-  if (auto Length = contentLength(Response, AnswersHead))
-    Out += "Content-Length: " + std::to_string(*Length) + "\r\n";
-  Out += "\r\n";
-  if (hasBody(Response.Status, AnswersHead))
-    Out += Response.Body;
-  return Out;
-}
-
 } // namespace
 
 class HttpServerConnection;
