Show why a host that is up serves nothing

Each refusal for a quota now names its obstacle and the host's share; event=sharing_changed names the hosts that are not connected with the reason and the share left to them. One line (event=serving_status) and one gauge (mimosa_serving_obstacle) say what keeps a host from serving.

--- a/entry/entry_node.cpp
+++ b/entry/entry_node.cpp
@@ -4,6 +4,7 @@
 #include "runtime/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace mimosa {
 
@@ -196,6 +197,12 @@
         [](Node &N) { return N.Registry.limitedServers(); });
   Gauge("mimosa_backend_servers_paused",
         [](Node &N) { return N.Registry.pausedServers(N.Loop.now()); });
+  for (ServingObstacle Each :
+       {ServingObstacle::Stopping, ServingObstacle::Unconfigured,
+        ServingObstacle::KeysUnconfirmed, ServingObstacle::NoBackendServers,
+        ServingObstacle::NoQuota})
+    Metrics.gauge("mimosa_serving_obstacle", {{"cause", nameOf(Each)}},
+                  [this, Each] { return Obstacle == Each ? 1.0 : 0.0; });
   Gauge("mimosa_sharing_hosts", [](Node &N) { return N.Registry.hostCount(); });
   Gauge("mimosa_calls_waiting",
         [](Node &N) { return N.Scheduler.waitingCalls(); });
@@ -269,9 +276,32 @@
   Scheduler.serversChanged(Loop.now());
   ConnectionPool.closeExpired();
   updateBusy();
+  updateServingStatus();
   startMetricsServer();
 }
 
+void EntryNode::updateServingStatus() {
+  ServingFacts Facts;
+  Facts.Stopping = Directory.leaving();
+  Facts.Configured = Directory.configured();
+  Facts.KeysConfirmed =
+      !Options.StrictRevocation || Feed.cacheAge() <= Options.RevocationLimit;
+  Facts.BackendServers = Registry.size();
+  Facts.Quota = Quota.obstacle();
+  ServingObstacle Former = std::exchange(Obstacle, servingObstacle(Facts));
+  if (Obstacle == Former)
+    return;
+  std::string Line =
+      std::string("event=serving_status obstacle=") + nameOf(Obstacle) +
+      " former=" + nameOf(Former) + " quota=" + nameOf(Facts.Quota) +
+      " backend_servers=" + std::to_string(Facts.BackendServers) +
+      " config_age_ms=" + std::to_string(inMilliseconds(Feed.cacheAge()));
+  if (Obstacle == ServingObstacle::None)
+    logInfo("node", Line);
+  else
+    logWarn("node", Line);
+}
+
 void EntryNode::updateBusy() {
   uint64_t Attempts = Scheduler.counters().Attempts;
   double UsedCores = static_cast<double>(Attempts - LastAttemptCount) *
--- a/entry/entry_node.h
+++ b/entry/entry_node.h
@@ -14,6 +14,7 @@
 #include "entry/entry_service.h"
 #include "entry/host_directory.h"
 #include "entry/rollout_driver.h"
+#include "entry/serving_status.h"
 #include "entry/team_quota.h"
 #include "placement/registration.h"
 #include "platform/platform_feed.h"
@@ -93,6 +94,8 @@
   void runTimers();
   void runPeriodicTasks();
   void updateBusy();
+  /// Logs each change of what keeps this host from serving.
+  void updateServingStatus();
   /// Serves the metrics, or tries again later: a host must not be kept from
   /// serving callers by a metrics address that is taken.
   void startMetricsServer();
@@ -140,6 +143,7 @@
   std::vector<HostId> OtherHosts;
   uint64_t LastAttemptCount = 0;
   bool Busy = false;
+  ServingObstacle Obstacle = ServingObstacle::None;
   FiberEvent TimerChanged;
   ScopedTimer PeriodicTimer;
   ScopedTimer LogFlushTimer;
--- a/entry/host_directory.h
+++ b/entry/host_directory.h
@@ -42,6 +42,8 @@
   bool hasCallers(uint64_t RecentAttempts, MonotonicTime Now) const;
   void setConfigured() { Configured = true; }
   void setLeaving() { Leaving = true; }
+  bool configured() const { return Configured; }
+  bool leaving() const { return Leaving; }
   bool ready() const { return Configured && !Leaving; }
 
   HttpResponse answer(const HttpRequest &Request) const;
--- a/entry/team_quota.cpp
+++ b/entry/team_quota.cpp
@@ -48,6 +48,8 @@
   Metrics.gauge("mimosa_quota_connected_hosts", {}, [this] {
     return static_cast<double>(Limits.connectedHosts());
   });
+  Metrics.gauge("mimosa_quota_share", {},
+                [this] { return Limits.currentShare(); });
 }
 
 void TeamQuota::start(const std::vector<HostId> &Seeds) {
@@ -125,11 +127,16 @@
 std::string TeamQuota::describe(const TeamId &Id) {
   SharedLimitState S = state(Id);
   return "level=" + std::to_string(S.Level) +
-         " rate=" + std::to_string(S.Rate) +
+         " rate=" + std::to_string(S.Rate) + " obstacle=" + nameOf(S.Obstacle) +
+         " share=" + std::to_string(Limits.currentShare()) +
          " sharing_hosts=" + std::to_string(Limits.sharingHosts()) +
          " connected_hosts=" + std::to_string(Limits.connectedHosts());
 }
 
+TokenObstacle TeamQuota::obstacle() {
+  return Limited.empty() ? TokenObstacle::None : Limits.obstacle(bootTime());
+}
+
 void TeamQuota::sendReports(const std::vector<AddressedUsage> &Reports) {
   for (const AddressedUsage &Each : Reports)
     Peers.send(Each.To, MessageType::SharedUsage, packBody(Each.Report));
@@ -163,7 +170,8 @@
   logInfo("quota",
           "event=sharing_changed sharing_hosts=" + std::to_string(Sharing) +
               " connected_hosts=" + std::to_string(Connected) +
-              " unheard=" + Limits.describeDisconnected());
+              " share=" + std::to_string(Limits.currentShare()) +
+              " unconnected=" + Limits.describeDisconnected(Now));
   LoggedSharing = Sharing;
   LoggedConnected = Connected;
 }
--- a/entry/team_quota.h
+++ b/entry/team_quota.h
@@ -46,6 +46,8 @@
   Duration retryAfter(const TeamId &Id, Random &Rng);
   /// The state of a quota for the log.
   std::string describe(const TeamId &Id);
+  /// Why this host admits no request of any team that has a quota.
+  TokenObstacle obstacle();
 
   void handleReport(const PeerFrame &Frame);
   /// Tells the other hosts that this one admits no more requests.
--- a/shared_limit/shared_limits.cpp
+++ b/shared_limit/shared_limits.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdio>
 #include <set>
 #include <xxhash.h>
 
@@ -162,10 +163,37 @@
   return B.BoundUntil > *AdvancedAt && roomInWindow(B) <= 0;
 }
 
-bool SharedLimits::mayTake(const Bucket &B) const {
-  return Joined && Settled && Share > 0 && B.Level >= 1 && !windowIsFull(B) &&
-         (connectedCount() == 1 ||
-          static_cast<double>(unacknowledged(B) + 1) <= ownPart(B));
+TokenObstacle SharedLimits::obstacleToAll() const {
+  if (!Joined)
+    return TokenObstacle::NotSharing;
+  if (!Settled)
+    return TokenObstacle::Unsettled;
+  if (Share > 0)
+    return TokenObstacle::None;
+  if (forgotten(*AdvancedAt))
+    return TokenObstacle::Forgotten;
+  if (Connections == 0 && !SelfListed)
+    return TokenObstacle::NotListed;
+  return TokenObstacle::Reserved;
+}
+
+TokenObstacle SharedLimits::obstacleTo(const Bucket &B) const {
+  TokenObstacle ToAll = obstacleToAll();
+  if (ToAll != TokenObstacle::None)
+    return ToAll;
+  if (B.Level < 1)
+    return TokenObstacle::Used;
+  if (windowIsFull(B))
+    return TokenObstacle::WindowFull;
+  if (connectedCount() > 1 &&
+      static_cast<double>(unacknowledged(B) + 1) > ownPart(B))
+    return TokenObstacle::Unacknowledged;
+  return TokenObstacle::None;
+}
+
+TokenObstacle SharedLimits::obstacle(MonotonicTime Now) {
+  advance(Now);
+  return obstacleToAll();
 }
 
 bool SharedLimits::sharing(MonotonicTime Now) const {
@@ -754,17 +782,60 @@
   if (!B)
     return {};
   advance(Now);
-  return {B->Level, effectiveRate(*B), B->Used, B->Refused};
-}
-
-std::string SharedLimits::describeDisconnected() const {
-  constexpr size_t MaxNames = 3;
+  return {B->Level, effectiveRate(*B), B->Used, B->Refused, obstacleTo(*B)};
+}
+
+const char *SharedLimits::whyDisconnected(const Peer &P,
+                                          MonotonicTime Now) const {
+  if (P.Leaving)
+    return "leaving";
+  if (!P.HasFull)
+    return "unheard";
+  if (!P.AckedSentAt)
+    return "unacknowledged";
+  if (Now - *P.AckedSentAt > ContactTimeout)
+    return "silent";
+  if (!P.InContact)
+    return "no_reply";
+  return P.FitsGroup ? "outside_its_group" : "outside_group";
+}
+
+std::string SharedLimits::describeDisconnected(MonotonicTime Now) const {
+  constexpr size_t MaxNames = 5;
   std::string Out;
   size_t Count = 0;
   for (const auto &[Id, P] : Peers)
-    if (P.Member && !P.Connected && ++Count <= MaxNames)
-      Out += (Out.empty() ? "" : ",") + Id.text();
+    if (P.Member && !P.Connected && ++Count <= MaxNames) {
+      char Details[64];
+      std::snprintf(Details, sizeof(Details), "(%s,%.3f)",
+                    whyDisconnected(P, Now), shareOf(P));
+      Out += (Out.empty() ? "" : ",") + Id.text() + Details;
+    }
   return Out.empty() ? "-" : Out;
 }
 
+const char *nameOf(TokenObstacle Obstacle) {
+  switch (Obstacle) {
+  case TokenObstacle::None:
+    return "none";
+  case TokenObstacle::NotSharing:
+    return "not_sharing";
+  case TokenObstacle::Unsettled:
+    return "unsettled";
+  case TokenObstacle::NotListed:
+    return "not_listed";
+  case TokenObstacle::Forgotten:
+    return "forgotten";
+  case TokenObstacle::Reserved:
+    return "reserved_for_others";
+  case TokenObstacle::WindowFull:
+    return "window_full";
+  case TokenObstacle::Used:
+    return "used";
+  case TokenObstacle::Unacknowledged:
+    return "unacknowledged";
+  }
+  return "unknown";
+}
+
 } // namespace mimosa
--- a/shared_limit/shared_limits.h
+++ b/shared_limit/shared_limits.h
@@ -72,12 +72,37 @@
   SharedUsage Report;
 };
 
+/// Why a host takes no token of a limit at this moment.
+enum class TokenObstacle {
+  None,
+  /// It has neither been listed nor had a request.
+  NotSharing,
+  /// It has just started or resumed, and not heard all others yet.
+  Unsettled,
+  /// It is not listed, and not connected to a host that is.
+  NotListed,
+  /// The others may no longer leave it a share.
+  Forgotten,
+  /// The whole limit is left to hosts that are not connected.
+  Reserved,
+  /// What stands in for hosts that are not connected is used up.
+  WindowFull,
+  /// The tokens are used.
+  Used,
+  /// The others have not acknowledged what it has taken.
+  Unacknowledged,
+};
+
+/// The name of an obstacle in logs and metrics.
+const char *nameOf(TokenObstacle Obstacle);
+
 /// The state of one limit, for metrics.
 struct SharedLimitState {
   double Level = 0;
   double Rate = 0;
   int64_t Used = 0;
   uint64_t Refused = 0;
+  TokenObstacle Obstacle = TokenObstacle::None;
 };
 
 class SharedLimits {
@@ -133,8 +158,14 @@
   size_t sharingHosts() const { return memberCount(); }
   size_t connectedHosts() const { return connectedCount(); }
   SharedLimitState state(const SharedLimitKey &Key, MonotonicTime Now);
-  /// Names hosts that share the limits and are not connected, for the log.
-  std::string describeDisconnected() const;
+  /// The part of all limits that this host and those connected to it have.
+  double currentShare() const { return Share; }
+  /// Why this host takes no token of any limit; None if it may have tokens of
+  /// some.
+  TokenObstacle obstacle(MonotonicTime Now);
+  /// Names hosts that share the limits and are not connected, with the share
+  /// that is left to each and the reason, for the log.
+  std::string describeDisconnected(MonotonicTime Now) const;
 
   virtual ~SharedLimits() = default;
 
@@ -301,7 +332,14 @@
   std::vector<AddressedUsage> makeReports(MonotonicTime Now, bool WantReplies);
   void beginReport(MonotonicTime Now);
   Bucket *find(const SharedLimitKey &Key);
-  bool mayTake(const Bucket &B) const;
+  /// obstacle() without the time at which it is asked for.
+  TokenObstacle obstacleToAll() const;
+  TokenObstacle obstacleTo(const Bucket &B) const;
+  bool mayTake(const Bucket &B) const {
+    return obstacleTo(B) == TokenObstacle::None;
+  }
+  /// Why \p P is not connected.
+  const char *whyDisconnected(const Peer &P, MonotonicTime Now) const;
   /// Whether the window leaves no room for a token in place of a lost host.
   bool windowIsFull(const Bucket &B) const;
 
