Test quotas after all hosts have stopped at one moment

Hosts lose power together, also right after a cut or several times, and start again in any order while some callers use old addresses.

--- a/shared_limit/shared_limits_test.cpp
+++ b/shared_limit/shared_limits_test.cpp
@@ -44,12 +44,15 @@
 
 template <typename Limits> class Deployment {
 public:
-  Deployment(size_t Count, double Rate, double Burst, Duration Step = Tick)
+  Deployment(size_t Count, double Rate, double Burst, Duration Step = Tick,
+             size_t SeedCount = SIZE_MAX, size_t ServingCount = SIZE_MAX)
       : Hosts(Count), Links(Count, std::vector<Link>(Count, Link::Works)),
         Delayed(Count, std::vector<std::vector<SharedUsage>>(Count)),
-        Rate(Rate), Burst(Burst), Step(Step) {
-    for (size_t I = 0; I < Count; ++I)
+        Rate(Rate), Burst(Burst), Step(Step), SeedCount(SeedCount) {
+    for (size_t I = 0; I < Count; ++I) {
+      Hosts[I].Serving = I < ServingCount;
       startHost(I);
+    }
   }
 
   void startHost(size_t I) {
@@ -57,11 +60,12 @@
     H.Shared.emplace(idOf(I), Incarnation(++Incarnations),
                      SharedLimitOptions{});
     H.Shared->setLimit(Team, Rate, Burst);
-    H.Shared->addSeeds(allHosts(), Now);
+    H.Shared->addSeeds(seeds(), Now);
     H.Up = true;
     H.Mailbox.clear();
     H.Listed.clear();
-    H.RenewedAt = Now;
+    if (H.Serving)
+      H.RenewedAt = Now;
     // A host without the store loads the list of hosts from another one.
     if (H.StoreCut)
       H.Shared->setHosts(allHosts(), Now);
@@ -126,6 +130,13 @@
     Most = std::max(Most, InWindow);
   }
 
+  /// Stops a host without notice; its entry lasts until its lease ends.
+  void kill(size_t I) { Hosts[I].Up = false; }
+  /// Whether a host that runs has an entry in the list. Others get requests
+  /// from callers that have its address from before.
+  void setServing(size_t I, bool Serving) { Hosts[I].Serving = Serving; }
+  bool serving(size_t I) const { return Hosts[I].Serving; }
+
   bool running(size_t I) const { return Hosts[I].Up && !Hosts[I].Frozen; }
   size_t inWindow() const { return InWindow; }
   /// Most tokens that were taken in a window.
@@ -141,6 +152,7 @@
     bool Up = false;
     bool Frozen = false;
     bool StoreCut = false;
+    bool Serving = true;
     MonotonicTime RenewedAt;
     std::vector<HostId> Listed;
     /// What arrives while the host is frozen.
@@ -155,10 +167,16 @@
     return Out;
   }
 
+  std::vector<HostId> seeds() const {
+    std::vector<HostId> Out = allHosts();
+    Out.resize(std::min(Out.size(), SeedCount));
+    return Out;
+  }
+
   void showHosts() {
     std::vector<HostId> Listed;
     for (size_t I = 0; I < Hosts.size(); ++I) {
-      if (running(I) && !Hosts[I].StoreCut)
+      if (running(I) && !Hosts[I].StoreCut && Hosts[I].Serving)
         Hosts[I].RenewedAt = Now;
       if (Now - Hosts[I].RenewedAt < LeaseTime)
         Listed.push_back(idOf(I));
@@ -196,6 +214,8 @@
   double Rate;
   double Burst;
   Duration Step;
+  /// Hosts that are named in the settings of each host.
+  size_t SeedCount;
   uint64_t Incarnations = 0;
   MonotonicTime Now = Start;
   uint64_t Ticks = 0;
@@ -481,5 +501,140 @@
   EXPECT_GE(leastUse(), MinUse);
 }
 
+// All hosts stop at one moment, some of them while or right after they were cut
+// off, and start again in any order with empty memories. Callers with old
+// addresses send a few requests to hosts that no longer serve.
+class HostsThatAllStop : public ::testing::TestWithParam<uint64_t> {
+protected:
+  static constexpr size_t HostCount = 19;
+  static constexpr double Rate = 48;
+  static constexpr double Burst = 48;
+  /// The shortest recoveryS that a deployment states.
+  static constexpr Duration RecoveryTime = Seconds(12);
+  /// Callers keep an address for 5 s.
+  static constexpr Duration AddressLifetime = Seconds(5);
+
+  HostsThatAllStop()
+      : System(HostCount, Rate, Burst, FineTick, 3, ServingCount) {
+    run(Seconds(3), 0);
+    run(Seconds(6), 2);
+  }
+
+  size_t anyServing() {
+    size_t Host = Rng.below(HostCount);
+    while (!System.running(Host) || !System.serving(Host)) {
+      if (Stopped)
+        return Host;
+      Host = Rng.below(HostCount);
+    }
+    return Host;
+  }
+
+  void run(Duration Time, double Factor, bool OldAddresses = false) {
+    for (Duration Elapsed(0); Elapsed < Time; Elapsed += FineTick) {
+      std::vector<size_t> Requests(HostCount);
+      Asked += Factor * Rate * inSeconds(FineTick);
+      for (; Asked >= 1; Asked -= 1)
+        ++Requests[OldAddresses && Rng.below(4) == 0 ? Rng.below(HostCount)
+                                                     : anyServing()];
+      System.tick(Requests);
+      ASSERT_LE(System.most(), System.allowed());
+    }
+  }
+
+  /// Hosts that the serving set got while others were cut off.
+  void serveByMore(size_t More) {
+    for (size_t I = ServingCount; I < ServingCount + More; ++I)
+      System.setServing(I, true);
+  }
+  void cutOff(const std::set<size_t> &Cut) {
+    for (size_t I : Cut) {
+      System.toggleStore(I);
+      for (size_t J = 0; J < HostCount; ++J)
+        if (!Cut.count(J)) {
+          System.toggleLink(I, J, Link::Loses);
+          System.toggleLink(J, I, Link::Loses);
+        }
+    }
+  }
+
+  void stopAll() {
+    Stopped = true;
+    for (size_t I = 0; I < HostCount; ++I)
+      System.kill(I);
+  }
+  void startAllInAnyOrder() {
+    std::vector<size_t> Order;
+    for (size_t I = 0; I < HostCount; ++I)
+      Order.insert(Order.begin() + static_cast<int64_t>(Rng.below(I + 1)), I);
+    for (size_t I : Order) {
+      System.startHost(I);
+      run(Milliseconds(10 * Rng.below(6)), 2, true);
+    }
+    Stopped = false;
+  }
+  /// The part of the quota that is used in each window after the recovery time.
+  void expectRecovery() {
+    run(AddressLifetime, 2, true);
+    run(RecoveryTime - AddressLifetime, 2);
+    for (int I = 0; I < 4; ++I) {
+      run(Window, 2);
+      EXPECT_GE(static_cast<double>(System.inWindow()), MinUse * Rate * 5)
+          << "window " << I;
+    }
+  }
+
+  static constexpr size_t ServingCount = 8;
+  SeededRandom Rng{GetParam()};
+  Deployment<SharedLimits> System;
+  double Asked = 0;
+  bool Stopped = false;
+};
+
+// Guards against shares that are left for hosts which only got a request from a
+// caller with an old address (2026-12-08-reserved-shares.md).
+TEST_P(HostsThatAllStop, QuotaIsUsedAfterAPowerLoss) {
+  stopAll();
+  run(Milliseconds(200 + Rng.below(2000)), 2);
+  startAllInAnyOrder();
+  expectRecovery();
+}
+
+// Guards against the same where the list names the hosts of a larger serving
+// set from before.
+TEST_P(HostsThatAllStop, QuotaIsUsedAfterAPowerLossRightAfterACut) {
+  size_t More = 4 + Rng.below(HostCount - ServingCount - 3);
+  std::set<size_t> Cut;
+  while (Cut.size() < 3)
+    Cut.insert(Rng.below(ServingCount));
+  cutOff(Cut);
+  run(Seconds(3), 2);
+  serveByMore(More);
+  run(Seconds(5), 2);
+  cutOff(Cut);
+  run(Milliseconds(Rng.below(3000)), 2);
+  stopAll();
+  run(Milliseconds(200 + Rng.below(2000)), 2);
+  for (size_t I = ServingCount; I < HostCount; ++I)
+    System.setServing(I, false);
+  startAllInAnyOrder();
+  expectRecovery();
+}
+
+// Guards against hosts that are counted as sharing because they were listed
+// when all hosts stopped.
+TEST_P(HostsThatAllStop, QuotaIsUsedAfterSeveralPowerLosses) {
+  for (int I = 0; I < 3; ++I) {
+    stopAll();
+    run(Milliseconds(200 + Rng.below(1000)), 2);
+    startAllInAnyOrder();
+    run(Milliseconds(Rng.below(4000)), 2, true);
+  }
+  expectRecovery();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, HostsThatAllStop,
+                         ::testing::Range<uint64_t>(1, 11));
+
 } // namespace
 } // namespace mimosa
