Leave no share of a quota to hosts that are not listed

Cause: a host that gets one request of a team without being in the serving set joined the hosts that share the quotas, and each other host left it an equal share while it was not connected. Such hosts do not know each other, so the group of connected hosts takes in one of them at most. After a power loss callers with old addresses made ten hosts join; the eight serving hosts left 1/9 to each, which was all there is.

Change: only listed hosts have a share. A spare host takes tokens only together with hosts that have one, and its reports say so; a host that is no longer listed gives up its share. Groups are chosen from hosts with a share first.

The model check has a new event (a host leaves or joins the list) and finds no sequence over the limit.

--- a/entry/team_quota.cpp
+++ b/entry/team_quota.cpp
@@ -45,6 +45,9 @@
       Limits(std::move(Self), Process, Options) {
   Metrics.gauge("mimosa_quota_sharing_hosts", {},
                 [this] { return static_cast<double>(Limits.sharingHosts()); });
+  Metrics.gauge("mimosa_quota_hosts_with_share", {}, [this] {
+    return static_cast<double>(Limits.hostsWithShare());
+  });
   Metrics.gauge("mimosa_quota_connected_hosts", {}, [this] {
     return static_cast<double>(Limits.connectedHosts());
   });
@@ -169,6 +172,7 @@
     return;
   logInfo("quota",
           "event=sharing_changed sharing_hosts=" + std::to_string(Sharing) +
+              " with_share=" + std::to_string(Limits.hostsWithShare()) +
               " connected_hosts=" + std::to_string(Connected) +
               " share=" + std::to_string(Limits.currentShare()) +
               " unconnected=" + Limits.describeDisconnected(Now));
--- a/shared_limit/messages.h
+++ b/shared_limit/messages.h
@@ -40,9 +40,12 @@
   bool Settled = false;
   /// The sender takes no tokens until it sends a report without this flag.
   bool Leaving = false;
+  /// The sender has no share of its own, since it is not listed: it takes
+  /// tokens only together with hosts that have one.
+  bool Spare = false;
   /// The recipient should report at once.
   bool WantsReply = false;
-  /// Number of hosts that the sender counts as sharing the limits.
+  /// Number of hosts that have a share, as far as the sender knows.
   uint32_t SharingHosts = 0;
   /// The part of all limits that the sender leaves to itself and the hosts
   /// that it is connected to.
@@ -58,9 +61,10 @@
       MSGPACK_NVP("seq", Sequence), MSGPACK_NVP("ack_run", AckedProcess),
       MSGPACK_NVP("ack", AckedSequence), MSGPACK_NVP("full", Full),
       MSGPACK_NVP("settled", Settled), MSGPACK_NVP("leaving", Leaving),
-      MSGPACK_NVP("reply", WantsReply), MSGPACK_NVP("hosts", SharingHosts),
-      MSGPACK_NVP("share", Share), MSGPACK_NVP("group", InGroup),
-      MSGPACK_NVP("contacts", Contacts), MSGPACK_NVP("usage", Usage));
+      MSGPACK_NVP("spare", Spare), MSGPACK_NVP("reply", WantsReply),
+      MSGPACK_NVP("hosts", SharingHosts), MSGPACK_NVP("share", Share),
+      MSGPACK_NVP("group", InGroup), MSGPACK_NVP("contacts", Contacts),
+      MSGPACK_NVP("usage", Usage));
 };
 
 } // namespace mimosa
--- a/shared_limit/shared_limits.cpp
+++ b/shared_limit/shared_limits.cpp
@@ -56,6 +56,8 @@
 }
 
 double SharedLimits::shareOf(const Peer &P) const {
+  if (!P.HasShare)
+    return 0;
   double Own = equalShare();
   return P.SharingHosts > 0 ? std::max(1.0 / P.SharingHosts, Own) : Own;
 }
@@ -69,16 +71,15 @@
 }
 
 void SharedLimits::updateShare(MonotonicTime Now) {
-  if (Connections > 0 || Members == 0 || (UnknownUntil && Now >= *UnknownUntil))
+  if (shareIsKnown() || Members == 0 || (UnknownUntil && Now >= *UnknownUntil))
     UnknownUntil.reset();
   OwnShare = 0;
   Share = 0;
-  // Nobody leaves a share to a host that is not listed until it is heard.
-  if (!Joined || forgotten(Now) || (Connections == 0 && !SelfListed))
+  if (!Joined || forgotten(Now) || connectedShareCount() == 0)
     return;
   OwnShare = 1;
   for (const auto &[Id, P] : Peers)
-    if (P.Member && !P.Connected)
+    if (!P.Connected)
       OwnShare -= shareOf(P);
   OwnShare = std::max(OwnShare, 0.0);
   Share = OwnShare;
@@ -172,7 +173,7 @@
     return TokenObstacle::None;
   if (forgotten(*AdvancedAt))
     return TokenObstacle::Forgotten;
-  if (Connections == 0 && !SelfListed)
+  if (connectedShareCount() == 0)
     return TokenObstacle::NotListed;
   return TokenObstacle::Reserved;
 }
@@ -224,7 +225,7 @@
   B.Burst = std::max(Burst, 0.0);
   B.Level = New ? shareOfCapacity(B) : std::min(B.Level, shareOfCapacity(B));
   for (auto &[Id, P] : Peers)
-    if (New && P.Member && !P.Connected)
+    if (New && P.HasShare && !P.Connected)
       P.Usage[Key].Withheld = capacity(B) * equalShare();
 }
 
@@ -237,7 +238,7 @@
   Joined = true;
   Settled = false;
   StartedAt = Now;
-  UnknownUntil = Now + SharingMemory;
+  becomeUnknown(Now);
   EarlyReportWanted = true;
   for (auto &[Id, P] : Peers)
     P.HasFull = false;
@@ -245,14 +246,14 @@
   for (auto &[Key, B] : Buckets) {
     B.Level = shareOfCapacity(B);
     for (auto &[Id, P] : Peers)
-      if (P.Member)
+      if (P.HasShare)
         P.Usage[Key].Withheld = capacity(B) * equalShare();
   }
   updateSettled(Now);
 }
 
 void SharedLimits::updateSettled(MonotonicTime Now) {
-  Settled = Settled || (Joined && (connectedCount() == memberCount() ||
+  Settled = Settled || (Joined && (connectedShareCount() == shareCount() ||
                                    Now - StartedAt >= ContactTimeout));
 }
 
@@ -261,7 +262,10 @@
   if (Hosts.empty())
     return;
   advance(Now);
-  SelfListed = std::find(Hosts.begin(), Hosts.end(), Self) != Hosts.end();
+  bool Listed = std::find(Hosts.begin(), Hosts.end(), Self) != Hosts.end();
+  if (Listed && !SelfListed)
+    becomeUnknown(Now);
+  SelfListed = Listed;
   std::set<HostId> Named(Hosts.begin(), Hosts.end());
   Named.erase(Self);
   for (const HostId &Host : Named)
@@ -271,7 +275,9 @@
     if (Listed || P.Listed)
       P.SeenAt = Now;
     // A host that is listed anew may take its share before it is heard.
-    P.Leaving = P.Leaving && (!Listed || P.Listed);
+    bool Anew = Listed && !P.Listed;
+    P.Leaving = P.Leaving && !Anew;
+    P.Spare = P.Spare && !Anew;
     P.Listed = Listed;
   }
   confirmHosts(Now);
@@ -291,13 +297,33 @@
   if (!SelfListed)
     return;
   if (ConfirmedAt && Now - *ConfirmedAt > ListingMemory)
-    UnknownUntil = Now + SharingMemory;
+    becomeUnknown(Now);
   ConfirmedAt = Now;
 }
 
+void SharedLimits::becomeUnknown(MonotonicTime Now) {
+  UnknownUntil = Now + SharingMemory;
+  UnknownSequence = Sequence + 1;
+  EarlyReportWanted = true;
+}
+
+bool SharedLimits::shareIsKnown() const {
+  return std::any_of(Peers.begin(), Peers.end(), [this](const auto &Each) {
+    return Each.second.Connected &&
+           Each.second.AckedSequence >= UnknownSequence;
+  });
+}
+
+size_t SharedLimits::connectedShareCount() const {
+  size_t Out = SelfListed ? 1 : 0;
+  for (const auto &[Id, P] : Peers)
+    Out += P.Connected && P.HasShare ? 1 : 0;
+  return Out;
+}
+
 bool SharedLimits::forgotten(MonotonicTime Now) const {
   return ConfirmedAt && Now - *ConfirmedAt > ListingMemory &&
-         2 * connectedCount() <= memberCount();
+         2 * connectedShareCount() <= shareCount();
 }
 
 std::optional<uint64_t> SharedLimits::acknowledgedSequence() const {
@@ -308,7 +334,7 @@
   return Out;
 }
 
-void SharedLimits::withhold(Peer &P, Duration Unheard) {
+void SharedLimits::withhold(Peer &P, double Part, Duration Unheard) {
   for (auto &[Key, B] : Buckets) {
     // What it may have taken meanwhile: its part of the level as it was when it
     // was last heard, and of the refill.
@@ -316,8 +342,7 @@
     if (Unheard > Duration(0))
       Most =
           std::min(Most, B.Level + static_cast<double>(usedWithin(B, Unheard)));
-    double Share = Most * shareOf(P);
-    double Tokens = std::min(Share, std::max(B.Level, 0.0));
+    double Tokens = std::min(Most * Part, std::max(B.Level, 0.0));
     B.Level -= Tokens;
     P.Usage[Key].Withheld = Tokens;
   }
@@ -332,8 +357,21 @@
   P.InContact = false;
   P.AckedSentAt.reset();
   P.DisconnectedAt = Now;
-  if (Member)
-    withhold(P, Duration(0));
+}
+
+bool SharedLimits::released(const Peer &P, MonotonicTime Now) const {
+  // A listed host that is not heard may have learned meanwhile that it is.
+  return (P.Leaving || P.Spare) && Now >= P.ReleasedAt &&
+         (!P.Listed || Now - P.HeardAt < ListingMemory);
+}
+
+void SharedLimits::setHasShare(Peer &P, bool HasShare) {
+  if (P.HasShare == HasShare)
+    return;
+  P.HasShare = HasShare;
+  PeerShares += HasShare ? 1 : -1;
+  if (HasShare && !P.Connected)
+    withhold(P, shareOf(P), Duration(0));
 }
 
 void SharedLimits::setConnected(Peer &P, bool Connected) {
@@ -343,11 +381,15 @@
 }
 
 void SharedLimits::disconnect(Peer &P, MonotonicTime Now) {
+  // A host without a share may have taken its part of the common level.
+  double Part =
+      P.HasShare ? shareOf(P) : 1.0 / static_cast<double>(connectedCount());
   setConnected(P, false);
   P.DisconnectedAt = Now;
-  withhold(P, P.AckedSentAt
-                  ? std::min<Duration>(Now - *P.AckedSentAt, 2 * ContactTimeout)
-                  : ContactTimeout);
+  withhold(P, Part,
+           P.AckedSentAt
+               ? std::min<Duration>(Now - *P.AckedSentAt, 2 * ContactTimeout)
+               : ContactTimeout);
 }
 
 void SharedLimits::connect(Peer &P, MonotonicTime Now) {
@@ -376,9 +418,11 @@
 
 void SharedLimits::updateContacts(MonotonicTime Now) {
   for (auto &[Id, P] : Peers) {
-    bool Member = (!P.Leaving || Now < P.ReleasedAt) &&
-                  (P.Listed || (P.SeenAt && Now - *P.SeenAt < SharingMemory));
+    bool Released = released(P, Now);
+    bool Known = P.Listed || (P.SeenAt && Now - *P.SeenAt < SharingMemory);
+    bool Member = Known && !(P.Leaving && Released);
     setMember(P, Member, Now);
+    setHasShare(P, Member && !Released);
     bool InContact = Member && !P.Leaving && P.HasFull && Joined &&
                      P.AckedSentAt && Now - *P.AckedSentAt <= ContactTimeout &&
                      !(P.AskedSince && Now - *P.AskedSince > ReplyTimeout);
@@ -394,12 +438,14 @@
     HostId Id;
     uint32_t Hash;
     const Peer *State;
+    bool HasShare;
     size_t Degree;
   };
-  std::vector<Candidate> Candidates = {{Self, hashOf(Self), nullptr, 0}};
+  std::vector<Candidate> Candidates = {
+      {Self, hashOf(Self), nullptr, SelfListed, 0}};
   for (const auto &[Id, P] : Peers)
     if (P.InContact)
-      Candidates.push_back({Id, hashOf(Id), &P, 0});
+      Candidates.push_back({Id, hashOf(Id), &P, P.HasShare, 0});
   auto Reports = [](const Candidate &A, const Candidate &B) {
     return !A.State || std::binary_search(A.State->Contacts.begin(),
                                           A.State->Contacts.end(), B.Hash);
@@ -412,6 +458,8 @@
       A.Degree += A.Id != B.Id && Adjacent(A, B) ? 1 : 0;
   std::sort(Candidates.begin(), Candidates.end(),
             [](const Candidate &A, const Candidate &B) {
+              if (A.HasShare != B.HasShare)
+                return A.HasShare;
               return A.Degree != B.Degree ? A.Degree > B.Degree : A.Id < B.Id;
             });
   std::vector<const Candidate *> Group;
@@ -463,7 +511,7 @@
   for (auto &[Key, B] : Buckets) {
     B.Level = std::min(B.Level, shareOfCapacity(B));
     for (auto &[Id, P] : Peers)
-      if (P.Member)
+      if (P.HasShare)
         P.Usage[Key].Withheld = capacity(B) * equalShare();
   }
   Settled = false;
@@ -593,8 +641,9 @@
   Out.Full = !P.Connected;
   Out.Settled = Settled;
   Out.Leaving = !Joined;
+  Out.Spare = !SelfListed;
   Out.WantsReply = WantsReply;
-  Out.SharingHosts = static_cast<uint32_t>(memberCount());
+  Out.SharingHosts = static_cast<uint32_t>(shareCount());
   Out.Share = OwnShare;
   Out.InGroup = P.FitsGroup;
   for (const auto &[Id, Other] : Peers)
@@ -706,6 +755,24 @@
   }
 }
 
+void SharedLimits::applyShareState(Peer &P, const SharedUsage &Report,
+                                   MonotonicTime Now) {
+  bool Releases = Report.Leaving || Report.Spare;
+  if (Releases && !P.Leaving && !P.Spare) {
+    // What a host has taken while it was not connected is not known here. The
+    // first process that is known of a host is an exception.
+    bool Unused =
+        Report.Full && P.FormerProcess == Incarnation() &&
+        std::all_of(Report.Usage.begin(), Report.Usage.end(),
+                    [](const LimitUsage &Each) { return Each.Used == 0; });
+    P.ReleasedAt =
+        P.Connected || !P.HasShare || Unused ? Now : Now + Options.Window;
+  }
+  P.Leaving = Report.Leaving;
+  P.Spare = Report.Spare;
+  P.HeardAt = Now;
+}
+
 void SharedLimits::recordAck(Peer &P, const SharedUsage &Report) {
   if (Report.AckedProcess != Process || Report.AckedSequence < P.AckedSequence)
     return;
@@ -757,10 +824,7 @@
   if (!accept(P, Report, Now))
     return std::nullopt;
   applyUsage(P, Report, Now);
-  // What a host has taken that was not connected is not known here.
-  if (Report.Leaving && !P.Leaving)
-    P.ReleasedAt = P.Connected ? Now : Now + Options.Window;
-  P.Leaving = Report.Leaving;
+  applyShareState(P, Report, Now);
   P.SeenAt = Now;
   recordAck(P, Report);
   updateConnections(Now);
--- a/shared_limit/shared_limits.h
+++ b/shared_limit/shared_limits.h
@@ -15,10 +15,13 @@
 // other sharing hosts. Until all connected hosts have acknowledged what a host
 // has taken, it takes at most its part of the level, but at least one token. A
 // host is connected to another while the other's acknowledgements are recent.
-// It leaves an equal share of each limit to every host that shares the limits
-// and is not connected, so the sum of all shares stays within the limit on both
-// sides of a partition, and a host that resumes after a freeze has its equal
-// share until others answer.
+// It leaves an equal share of each limit to every host that has one and is not
+// connected, so the sum of all shares stays within the limit on both sides of a
+// partition, and a host that resumes after a freeze has its equal share until
+// others answer. Listed hosts have a share. A host that gets requests without
+// being listed has none and takes tokens only while it is connected to one that
+// has: callers may send requests to any number of such hosts, which do not know
+// each other.
 //
 // Performs no I/O. Times must come from one clock that also counts the time in
 // which the machine is suspended.
@@ -153,9 +156,10 @@
 
   /// Whether there is no limit.
   bool empty() const;
-  /// Hosts that share the limits, including this one, and those of them that
-  /// are connected.
-  size_t sharingHosts() const { return memberCount(); }
+  /// Hosts that share the limits, including this one; those of them that have a
+  /// share; and those that are connected.
+  size_t sharingHosts() const { return 1 + Members; }
+  size_t hostsWithShare() const { return shareCount(); }
   size_t connectedHosts() const { return connectedCount(); }
   SharedLimitState state(const SharedLimitKey &Key, MonotonicTime Now);
   /// The part of all limits that this host and those connected to it have.
@@ -228,9 +232,14 @@
   };
   struct Peer {
     bool Listed = false;
+    /// SharedUsage::Leaving and Spare of its last report.
     bool Leaving = false;
-    /// The share of a host that leaves passes to the others from then on.
+    bool Spare = false;
+    /// The share of a host that leaves or is spare passes to the others from
+    /// then on.
     MonotonicTime ReleasedAt{};
+    /// When its last report arrived.
+    MonotonicTime HeardAt{};
     /// Its acknowledgements are recent.
     bool InContact = false;
     /// In contact, as are all others that are connected: one group takes
@@ -242,6 +251,8 @@
     std::optional<MonotonicTime> UnfitSince;
     /// It shares the limits.
     bool Member = false;
+    /// A share is left to it while it is not connected.
+    bool HasShare = false;
     /// A full report of its process was applied; reports are not acknowledged
     /// before.
     bool HasFull = false;
@@ -294,10 +305,14 @@
   /// How many unacknowledged tokens this host may have taken.
   double ownPart(const Bucket &B) const;
   int64_t unacknowledged(const Bucket &B) const;
-  /// Hosts that share the limits, and those that are connected; with this one.
-  size_t memberCount() const { return 1 + Members; }
+  /// Hosts that have a share, and those that are connected; with this one.
+  size_t shareCount() const { return PeerShares + (SelfListed ? 1 : 0); }
   size_t connectedCount() const { return 1 + Connections; }
-  double equalShare() const { return 1.0 / static_cast<double>(memberCount()); }
+  /// Hosts that are connected and have a share, with this one if it has.
+  size_t connectedShareCount() const;
+  double equalShare() const {
+    return 1.0 / static_cast<double>(std::max<size_t>(shareCount(), 1));
+  }
   /// Whether this host may take tokens: it is listed, or had requests lately.
   bool sharing(MonotonicTime Now) const;
 
@@ -312,13 +327,20 @@
   /// The hosts, of which each is in contact with each other, that take tokens
   /// from one level with this host. All hosts choose alike.
   std::set<HostId> chooseGroup() const;
+  /// Whether \p P has said that it has no share, and this still holds.
+  bool released(const Peer &P, MonotonicTime Now) const;
   void setMember(Peer &P, bool Member, MonotonicTime Now);
+  void setHasShare(Peer &P, bool HasShare);
+  /// Whether a connected host has acknowledged that this one has a share.
+  bool shareIsKnown() const;
+  /// The others do not know yet that this host has a share.
+  void becomeUnknown(MonotonicTime Now);
   void setConnected(Peer &P, bool Connected);
   void connect(Peer &P, MonotonicTime Now);
   void disconnect(Peer &P, MonotonicTime Now);
-  /// Takes the tokens from the levels that \p P may take. It was not heard for
-  /// \p Unheard.
-  void withhold(Peer &P, Duration Unheard);
+  /// Takes the tokens from the levels that \p P may take, as \p Part of them.
+  /// It was not heard for \p Unheard.
+  void withhold(Peer &P, double Part, Duration Unheard);
   void applyAcks();
   void addTokens(Bucket &B, double Tokens) const;
   /// Begins to share the limits, again or for the first time.
@@ -327,6 +349,8 @@
   /// Returns false if the report is late or of a former process.
   bool accept(Peer &P, const SharedUsage &Report, MonotonicTime Now);
   void applyUsage(Peer &P, const SharedUsage &Report, MonotonicTime Now);
+  /// Applies what \p Report says of the sender's share.
+  void applyShareState(Peer &P, const SharedUsage &Report, MonotonicTime Now);
   void recordAck(Peer &P, const SharedUsage &Report);
   SharedUsage makeReport(Peer &P, bool WantsReply, MonotonicTime Now) const;
   std::vector<AddressedUsage> makeReports(MonotonicTime Now, bool WantReplies);
@@ -348,8 +372,10 @@
   SharedLimitOptions Options;
   std::unordered_map<SharedLimitKey, Bucket> Buckets;
   std::map<HostId, Peer> Peers;
-  /// Numbers of other hosts with Peer::Member and with Peer::Connected.
+  /// Numbers of other hosts with Peer::Member, Peer::HasShare and
+  /// Peer::Connected.
   size_t Members = 0;
+  size_t PeerShares = 0;
   size_t Connections = 0;
   /// The group has to be chosen again.
   bool GroupChanged = false;
@@ -367,6 +393,8 @@
   /// Until then, others may leave no share to this host, since they do not know
   /// that it has started or resumed.
   std::optional<MonotonicTime> UnknownUntil;
+  /// The first report that says so.
+  uint64_t UnknownSequence = 0;
   /// What this host leaves to itself and those connected to it, and the least
   /// of what they leave.
   double OwnShare = 0;
--- a/shared_limit/shared_limits_test.cpp
+++ b/shared_limit/shared_limits_test.cpp
@@ -311,6 +311,9 @@
       Events.push_back({"kill" + Name, [I](System &S) { S.toggleUp(I); }});
       Events.push_back({"leave" + Name, [I](System &S) { S.leave(I); }});
       Events.push_back({"store" + Name, [I](System &S) { S.toggleStore(I); }});
+      // It leaves the list although it goes on, or returns to it.
+      Events.push_back(
+          {"spare" + Name, [I](System &S) { S.setServing(I, !S.serving(I)); }});
       // All links from and to a host, or one direction.
       Events.push_back({"lose_from" + Name, [I](System &S) {
                           toggleLinks(S, I, true, false, Link::Loses);
--- a/tools/entry_process.py
+++ b/tools/entry_process.py
@@ -18,7 +18,7 @@
 
     def __init__(self, name: str, store_address: str, ports: list[int], seeds: str = "",
                  stdout: Any = subprocess.DEVNULL, zone: str = "z1",
-                 settings_file: str = "") -> None:
+                 settings_file: str = "", options: list[str] | None = None) -> None:
         self.caller_address, self.ready_address, self.directory_address, self.peer_address, \
             self.metrics_address = (f"{LOCALHOST}:{port}" for port in ports[:5])
         self.process = subprocess.Popen(
@@ -27,7 +27,8 @@
              "--directory-address", self.directory_address, "--peer-address", self.peer_address,
              "--metrics-address", self.metrics_address, "--store-address", store_address,
              "--seeds", seeds,
-             *(["--settings-file", settings_file] if settings_file else [])], stdout=stdout)
+             *(["--settings-file", settings_file] if settings_file else []),
+             *(options or [])], stdout=stdout)
 
     def get(self, address: str, path: str) -> tuple[int, bytes]:
         connection = http.client.HTTPConnection(address, timeout=5)
