Start quotas empty if no other host knows their levels

Callers of a team could get more than its quota (QUOTA) when all hosts stopped and started again: each process began with a full bucket, so what a team had saved up was granted again by each start.

Change: a host that joins begins with an empty level and takes over that of the first connected host that has been running; without one the levels grow at the rate. A limit that a host learns after it has joined counts from the join. The fixture of SingleHost now joins a minute earlier, since its tests are about hosts that run: the expected counts are unchanged.

--- a/shared_limit/shared_limits.cpp
+++ b/shared_limit/shared_limits.cpp
@@ -218,15 +218,27 @@
   bool New = It == Buckets.end() || It->second.Rate <= 0;
   if (New && Rate <= 0)
     return;
+  // Reports about unknown limits are not applied, so the others' use of the
+  // first ones is not known yet.
+  if (Joined && empty()) {
+    Settled = false;
+    StartedAt = *AdvancedAt;
+    updateSettled(*AdvancedAt);
+  }
   // A limit that is removed keeps its count, which others compare with the last
   // one that they know.
   Bucket &B = Buckets[Key];
   B.Rate = std::max(Rate, 0.0);
   B.Burst = std::max(Burst, 0.0);
-  B.Level = New ? shareOfCapacity(B) : std::min(B.Level, shareOfCapacity(B));
+  B.Level = std::min(New ? tokensSinceJoin(B) : B.Level, shareOfCapacity(B));
   for (auto &[Id, P] : Peers)
     if (New && P.HasShare && !P.Connected)
-      P.Usage[Key].Withheld = capacity(B) * equalShare();
+      P.Usage[Key].Withheld =
+          std::min(capacity(B), tokensSinceJoin(B)) * equalShare();
+}
+
+double SharedLimits::tokensSinceJoin(const Bucket &B) const {
+  return Joined ? B.Rate * inSeconds(*AdvancedAt - JoinedAt) : 0;
 }
 
 void SharedLimits::addTokens(Bucket &B, double Tokens) const {
@@ -238,16 +250,19 @@
   Joined = true;
   Settled = false;
   StartedAt = Now;
+  JoinedAt = Now;
   becomeUnknown(Now);
   EarlyReportWanted = true;
   for (auto &[Id, P] : Peers)
     P.HasFull = false;
   updateShare(Now);
+  // Tokens that were saved up may have been used just before, by this host or,
+  // if all have started, by any.
   for (auto &[Key, B] : Buckets) {
-    B.Level = shareOfCapacity(B);
+    B.Level = 0;
+    B.LevelIsKnown = false;
     for (auto &[Id, P] : Peers)
-      if (P.HasShare)
-        P.Usage[Key].Withheld = capacity(B) * equalShare();
+      P.Usage[Key].Withheld = 0;
   }
   updateSettled(Now);
 }
@@ -405,8 +420,12 @@
       addTokens(B, Returned);
     else
       B.Level = std::max(std::min(B.Level, 0.0), B.Level + Returned);
-    if (!Settled && P.Settled)
-      B.Level = std::min(B.Level, U.Level);
+    if (!Settled && P.Settled) {
+      double Theirs = std::min(U.Level, shareOfCapacity(B));
+      B.Level = B.LevelIsKnown ? std::min(B.Level, Theirs)
+                               : std::max(B.Level, Theirs);
+      B.LevelIsKnown = true;
+    }
     // What it can have used of its share within the current window.
     double Recent = (B.Rate * inSeconds(Options.Window) + B.Burst) * shareOf(P);
     B.AllUse.add(static_cast<int64_t>(std::clamp(Used, 0.0, Recent)),
--- a/shared_limit/shared_limits.h
+++ b/shared_limit/shared_limits.h
@@ -204,6 +204,8 @@
     double Rate = 0;
     double Burst = 0;
     double Level = 0;
+    /// The level includes what was saved up before this host joined.
+    bool LevelIsKnown = true;
     int64_t Used = 0;
     /// What all connected hosts have acknowledged of Used.
     int64_t AckedUsed = 0;
@@ -343,6 +345,8 @@
   void withhold(Peer &P, double Part, Duration Unheard);
   void applyAcks();
   void addTokens(Bucket &B, double Tokens) const;
+  /// Tokens that a limit has got since this host has joined the others.
+  double tokensSinceJoin(const Bucket &B) const;
   /// Begins to share the limits, again or for the first time.
   void join(MonotonicTime Now);
   void updateSettled(MonotonicTime Now);
@@ -402,6 +406,7 @@
   /// While a host starts or resumes, the levels of the others bound its own.
   bool Settled = false;
   MonotonicTime StartedAt{};
+  MonotonicTime JoinedAt{};
   uint64_t Sequence = 0;
   MonotonicTime LastReportAt{};
   std::deque<std::pair<uint64_t, MonotonicTime>> SentAt;
--- a/shared_limit/shared_limits_test.cpp
+++ b/shared_limit/shared_limits_test.cpp
@@ -227,7 +227,11 @@
 /// A host that shares limits with no other.
 class SingleHost : public ::testing::Test {
 protected:
-  SingleHost() { Limits.setHosts({HostId("h0")}, Start); }
+  /// It has run long enough for any burst to be saved up.
+  SingleHost() {
+    Limits.setHosts({HostId("h0")}, Start - Seconds(60));
+    Limits.setHosts({HostId("h0")}, Start);
+  }
 
   /// Takes tokens until there is none.
   size_t takeAll(MonotonicTime Now) {
@@ -510,15 +514,13 @@
 class HostsThatAllStop : public ::testing::TestWithParam<uint64_t> {
 protected:
   static constexpr size_t HostCount = 19;
-  static constexpr double Rate = 48;
-  static constexpr double Burst = 48;
   /// The shortest recoveryS that a deployment states.
   static constexpr Duration RecoveryTime = Seconds(12);
   /// Callers keep an address for 5 s.
   static constexpr Duration AddressLifetime = Seconds(5);
 
-  HostsThatAllStop()
-      : System(HostCount, Rate, Burst, FineTick, 3, ServingCount) {
+  explicit HostsThatAllStop(double Rate = 48, double Burst = 48)
+      : Rate(Rate), System(HostCount, Rate, Burst, FineTick, 3, ServingCount) {
     run(Seconds(3), 0);
     run(Seconds(6), 2);
   }
@@ -589,6 +591,7 @@
 
   static constexpr size_t ServingCount = 8;
   SeededRandom Rng{GetParam()};
+  double Rate;
   Deployment<SharedLimits> System;
   double Asked = 0;
   bool Stopped = false;
@@ -636,6 +639,27 @@
   expectRecovery();
 }
 
+/// A team that has saved up a burst of many times its rate.
+class HostsThatAllStopInABurst : public HostsThatAllStop {
+protected:
+  HostsThatAllStopInABurst() : HostsThatAllStop(10, 200) {}
+};
+
+// Guards against a burst that is granted again by each process which starts
+// with an empty memory.
+TEST_P(HostsThatAllStopInABurst, QuotaIsKeptOverPowerLosses) {
+  run(Seconds(30), 0);
+  for (int I = 0; I < 3; ++I) {
+    run(Milliseconds(Rng.below(600)), 40);
+    stopAll();
+    run(Milliseconds(50 + Rng.below(300)), 40);
+    startAllInAnyOrder();
+  }
+  run(Window, 40);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, HostsThatAllStopInABurst,
+                         ::testing::Range<uint64_t>(1, 11));
 INSTANTIATE_TEST_SUITE_P(Seeds, HostsThatAllStop,
                          ::testing::Range<uint64_t>(1, 11));
 
