State the longest waits after all hosts have stopped

The incident came from a wait without a bound. docs/fault-matrix.md now lists what a host waits for when all hosts start again with empty memories, with the longest time of each and what it holds back; the bounds are the constants of the program.

--- a/placement/registration.cpp
+++ b/placement/registration.cpp
@@ -5,9 +5,6 @@
 namespace mimosa {
 
 namespace {
-/// Longest wait of a host with the capacity of no core. Within it, the entries
-/// of other hosts become visible, which takes a few hundred milliseconds.
-constexpr Duration MaxWait = Milliseconds(4000);
 /// Entries for each host of the zone that serves.
 constexpr size_t EntriesPerServingHost = 2;
 } // namespace
--- a/placement/registration.h
+++ b/placement/registration.h
@@ -29,6 +29,10 @@
 class Registration {
 public:
   static constexpr size_t MinEntriesPerZone = 8;
+  /// Longest wait of a host with the capacity of no core. Within it, the
+  /// entries of other hosts become visible, which takes a few hundred
+  /// milliseconds.
+  static constexpr Duration MaxWait = Milliseconds(4000);
 
   /// \p FirstStart: the whole system starts for the first time.
   Registration(ServingCandidate Self, bool FirstStart, Random &Rng)
--- a/proof/fault_matrix.cpp
+++ b/proof/fault_matrix.cpp
@@ -1,6 +1,7 @@
 #include "proof/fault_matrix.h"
 
 #include "proof/config_rig.h"
+#include "proof/recovery_waits.h"
 #include "proof/service_rig.h"
 
 #include <algorithm>
@@ -151,7 +152,7 @@
                     : "does not apply: " + C.ExclusionReason) +
                " |\n";
   }
-  return Out;
+  return Out + printRecoveryWaits();
 }
 
 CellResult runCell(const Cell &C, InjectedBug Bug) {
--- a/proof/module.cmake
+++ b/proof/module.cmake
@@ -1,6 +1,6 @@
 mimosa_module(proof mimosa_query mimosa_backend mimosa_dispatch mimosa_ownership
               mimosa_claim mimosa_config mimosa_membership mimosa_placement
-              mimosa_quarantine mimosa_platform)
+              mimosa_quarantine mimosa_platform mimosa_shared_limit)
 add_executable(mimosa-matrix proof/print_matrix_main.cpp)
 target_link_libraries(mimosa-matrix PRIVATE mimosa_proof)
 if(TARGET proof_test)
