Take over the levels of other hosts for quotas that are learned late

A host that joins before it has the configuration counted a new limit as known: it kept its own level, and took the lower one of the others only. Now it takes over theirs, as a host that has the limit from the start does.

--- a/shared_limit/shared_limits.cpp
+++ b/shared_limit/shared_limits.cpp
@@ -231,6 +231,7 @@
   B.Rate = std::max(Rate, 0.0);
   B.Burst = std::max(Burst, 0.0);
   B.Level = std::min(New ? tokensSinceJoin(B) : B.Level, shareOfCapacity(B));
+  B.LevelIsKnown = New ? Settled : B.LevelIsKnown;
   for (auto &[Id, P] : Peers)
     if (New && P.HasShare && !P.Connected)
       P.Usage[Key].Withheld =
@@ -268,8 +269,10 @@
 }
 
 void SharedLimits::updateSettled(MonotonicTime Now) {
-  Settled = Settled || (Joined && (connectedShareCount() == shareCount() ||
-                                   Now - StartedAt >= ContactTimeout));
+  bool AllConnected =
+      connectedShareCount() > 0 && connectedShareCount() == shareCount();
+  Settled = Settled ||
+            (Joined && (AllConnected || Now - StartedAt >= ContactTimeout));
 }
 
 void SharedLimits::setHosts(const std::vector<HostId> &Hosts,
@@ -422,8 +425,7 @@
       B.Level = std::max(std::min(B.Level, 0.0), B.Level + Returned);
     if (!Settled && P.Settled) {
       double Theirs = std::min(U.Level, shareOfCapacity(B));
-      B.Level = B.LevelIsKnown ? std::min(B.Level, Theirs)
-                               : std::max(B.Level, Theirs);
+      B.Level = B.LevelIsKnown ? std::min(B.Level, Theirs) : Theirs;
       B.LevelIsKnown = true;
     }
     // What it can have used of its share within the current window.
--- a/shared_limit/shared_limits_test.cpp
+++ b/shared_limit/shared_limits_test.cpp
@@ -639,6 +639,48 @@
   expectRecovery();
 }
 
+// Guards against a burst that is granted again by a host which learns of the
+// quota long after it has started, as when the store does not answer it.
+TEST(SharedLimitsStart, LateLimitBeginsWithTheLevelOfTheOthers) {
+  std::vector<HostId> Hosts = {HostId("a"), HostId("b")};
+  SharedLimits A(Hosts[0], Incarnation(1), {});
+  SharedLimits B(Hosts[1], Incarnation(2), {});
+  MonotonicTime Now = Start;
+  A.setLimit(Team, 1, 100);
+  A.setHosts(Hosts, Now);
+  B.setHosts(Hosts, Now);
+  bool Known = false;
+  auto Run = [&](Duration Time) {
+    for (; Time > Duration(0); Time -= Tick) {
+      Now += Tick;
+      for (SharedLimits *From : {&A, &B}) {
+        SharedLimits *To = From == &A ? &B : &A;
+        From->confirmHosts(Now);
+        std::vector<AddressedUsage> Reports = From->takeReports(Now);
+        for (size_t I = 0; Known && I < Reports.size(); ++I)
+          if (auto Reply = To->applyReport(Reports[I].Report, Now))
+            From->applyReport(Reply->Report, Now);
+      }
+    }
+  };
+  auto TakeAll = [&](SharedLimits &From) {
+    size_t Out = 0;
+    while (From.admit(Team, Now))
+      ++Out;
+    return Out;
+  };
+  // Alone, it uses its half of the limit only.
+  Run(Seconds(300));
+  EXPECT_GT(TakeAll(A), 20u);
+  B.setLimit(Team, 1, 100);
+  Known = true;
+  Run(Seconds(1));
+  ASSERT_EQ(A.connectedHosts(), 2u);
+  double Level = A.state(Team, Now).Level;
+  EXPECT_LE(B.state(Team, Now).Level, Level + 1);
+  EXPECT_LE(TakeAll(B), Level + 2);
+}
+
 /// A team that has saved up a burst of many times its rate.
 class HostsThatAllStopInABurst : public HostsThatAllStop {
 protected:
