Test that quotas are used by requests that may have run

For each of the endings of PromisesOnlyWhatIsKnownOfARequest a request of a team takes one token if it may have run, and none if the caller is told that it has not. Passes on the current code; without the refund in EntryService it fails.

--- a/entry/entry_service_test.cpp
+++ b/entry/entry_service_test.cpp
@@ -2,6 +2,7 @@
 // told of its request must be true.
 
 #include "entry/entry_service.h"
+#include "entry/team_quota.h"
 #include "platform/backend_wire.h"
 #include "runtime/child_process_test_util.h"
 
@@ -148,7 +149,8 @@
     HttpRequest Request;
     Request.Method = Method;
     Request.Target = Path;
-    Request.Headers = {{"Host", "h"}, {"Attempt-Id", "a1"}};
+    Request.Headers = {
+        {"Host", "h"}, {"Attempt-Id", "a1"}, {"Authorization", "Token key"}};
     Request.ArrivedAt = Loop.now();
     std::optional<HttpResponse> Response;
     Loop.spawn([&] {
@@ -266,5 +268,60 @@
     });
 }
 
+/// A host whose callers belong to a team with a quota.
+class HostWithQuota : public TestHost {
+public:
+  explicit HostWithQuota(FiberLoop &Loop)
+      : TestHost(Loop), Peers(Loop, Traffic),
+        Quota(Loop, Peers, HostId("h1"), Incarnation(1), {}, Metrics,
+              [] { return Duration(0); }) {
+    RoutingConfig Config = makeRoutes()->config();
+    Config.Teams.emplace();
+    Team &Callers = Config.Teams->Teams.emplace_back();
+    Callers.Id = TeamId("t");
+    Callers.RatePerSecond = 10000;
+    Callers.Burst = 100;
+    Config.Teams->Keys.add(digestOf(KeySalt{}, "key"), 0);
+    Quota.setTeams(&*Config.Teams);
+    Quota.setHosts({HostId("h1")});
+    Service.setRoutes(std::make_shared<const RouteTable>(std::move(Config)));
+    Service.setQuota(Quota);
+    // The quota starts empty.
+    FiberLoop::sleepFor(Milliseconds(20));
+  }
+
+  /// Tokens that are used.
+  int used() {
+    constexpr std::string_view Name =
+        "mimosa_team_quota_used_total{team=\"t\"} ";
+    std::string Text = Metrics.render();
+    return std::stoi(Text.substr(Text.find(Name) + Name.size()));
+  }
+
+private:
+  PeerTraffic Traffic;
+  PeerClient Peers;
+  TeamQuota Quota;
+};
+
+// Guards against callers who pay for a request that has not run, and against
+// one that may have run for nothing.
+TEST(EntryService, QuotasAreUsedByRequestsThatMayHaveRun) {
+  for (const char *Path : {"/once/", "/safe/", "/gather/"})
+    runInChildProcess([Path](FiberLoop &Loop) {
+      for (const Ending &Script : allEndings()) {
+        SCOPED_TRACE(Path + Script.describe());
+        HostWithQuota Host(Loop);
+        Host.Backends.Script = Script;
+        HttpResponse Response = Host.request(std::string(Path) + "1");
+        EXPECT_EQ(Host.used(), isPromise(Response.Status) ? 0 : 1);
+        if (Host.Backends.Runs > 0) {
+          EXPECT_EQ(Host.used(), 1);
+        }
+        Loop.sleepFor(2 * RunTime);
+      }
+    });
+}
+
 } // namespace
 } // namespace mimosa
