Inject a failed recovery into a request that was not abandoned

The soak injects each violation into a copy of its history, and the check must find it. This one was put into the first request after the recovery, which its caller may have abandoned; the check leaves such requests out, rightly. The injection now takes the first request that was answered. The check itself is unchanged.

--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -671,7 +671,9 @@
 
 def _fail_after_recovery(history: History) -> bool:
     for request in history.requests:
-        if history.recovered_at + CALM_S < request.sent_at and request.ended_at < history.ended_at:
+        # Callers may abandon a request at any time.
+        if (history.recovered_at + CALM_S < request.sent_at
+                and request.ended_at < history.ended_at and request.outcome == "answer"):
             request.status = 503
             request.retry_after = 1.0
             return True
