--- a/tools/power_loss_test.py
+++ b/tools/power_loss_test.py
@@ -15,6 +15,7 @@
 import threading
 import time
 import unittest
+from collections.abc import Callable
 
 from entry_process import EntryProcess
 from platform_stand_in import Searcher, Store, configuration
@@ -130,7 +131,7 @@
         except (OSError, ValueError, KeyError, http.client.HTTPException):
             return []
 
-    def wait_for(self, limit_s: float, condition) -> None:
+    def wait_for(self, limit_s: float, condition: Callable[[], bool]) -> None:
         end = time.monotonic() + limit_s
         while not condition():
             self.assertLess(time.monotonic(), end, f"condition not met within {limit_s} s")
